--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Policy bench and load program.
--- /dev/null
+++ b/crates/consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated log for control state without I/O.
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Control process of the fleet.
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operator command line.
--- /dev/null
+++ b/crates/dev/src/lib.rs
@@ -0,0 +1,1 @@
+//! Whole fleet embedded in one process.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Entry proxy of the fleet.
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,1 @@
+//! Process kernel: plug-ins, settings, logs, metrics and journal.
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,22 @@
+//! Shared types of the fleet: identifiers, units, service documents, key hashes and result codes.
+//!
+//! Nothing in this crate does I/O.
+
+pub mod announcement;
+pub mod config;
+pub mod document;
+pub mod id;
+pub mod key;
+pub mod result_code;
+pub mod unit;
+
+pub use announcement::{Announcement, BackendState};
+pub use config::{Change, ChangeRecord, FleetConfig, KeyRecord, ServiceEntry};
+pub use document::{Access, OrganisationLimit, Route, ServiceDocument};
+pub use id::{
+    AvailabilityZone, BackendServerId, Incarnation, InstanceId, KeyId, OrganisationId, Revision,
+    ServiceId, SubmissionId,
+};
+pub use key::{KeyHash, OrganisationKey};
+pub use result_code::{Outcome, Refusal, ResultCode};
+pub use unit::{ByteSize, Percent, RatePerSecond};
--- /dev/null
+++ b/crates/model/tests/identifiers.rs
@@ -0,0 +1,49 @@
+//! Identifiers, units and keys refuse malformed text and never show a secret.
+
+use radishpaddle_model::{ByteSize, KeyHash, OrganisationKey, Percent, RatePerSecond, ServiceId};
+
+/// Guards against identifiers that could break out of a path, a log line or a metric label.
+#[test]
+fn malformed_identifiers_are_refused() {
+    for text in ["", "a b", "a/b", "a\nb", "ü", &"x".repeat(65)] {
+        assert!(text.parse::<ServiceId>().is_err(), "{text:?} was accepted");
+    }
+    assert_eq!(
+        "route-avail".parse::<ServiceId>().unwrap().as_str(),
+        "route-avail"
+    );
+}
+
+/// Guards against a key that reaches a log through `Debug` or `Display`.
+#[test]
+fn key_is_not_shown() {
+    let key: OrganisationKey = "rk_0123456789abcdef".parse().unwrap();
+
+    let shown = format!("{key:?} {key} {:?}", key.hash());
+
+    assert!(!shown.contains("0123456789abcdef"), "{shown}");
+}
+
+/// Guards against a hash whose text form does not lead back to it.
+#[test]
+fn key_hash_survives_its_text_form() {
+    let hash = "rk_0123456789abcdef"
+        .parse::<OrganisationKey>()
+        .unwrap()
+        .hash();
+
+    let parsed: KeyHash = hash.to_string().parse().unwrap();
+
+    assert_eq!(parsed, hash);
+    assert!("zz".repeat(32).parse::<KeyHash>().is_err());
+}
+
+/// Guards against limits that disable a check, such as a rate that is not a number.
+#[test]
+fn units_refuse_values_outside_their_range() {
+    assert!("NaN".parse::<RatePerSecond>().is_err());
+    assert!("-1/s".parse::<RatePerSecond>().is_err());
+    assert!("101%".parse::<Percent>().is_err());
+    assert!("18014398509481984KiB".parse::<ByteSize>().is_err());
+    assert_eq!("64KiB".parse::<ByteSize>().unwrap().to_string(), "64KiB");
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Gray-failure detection, ejection, routing and retry decisions without I/O.
--- /dev/null
+++ b/crates/quorum/src/lib.rs
@@ -0,0 +1,1 @@
+//! Witness state, claims, freshness and rate allocation without I/O.
--- /dev/null
+++ b/crates/report/src/lib.rs
@@ -0,0 +1,1 @@
+//! Service-level burn report.
--- /dev/null
+++ b/crates/storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Data folder of a control instance: log and snapshots.
--- /dev/null
+++ b/crates/testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fault-injecting proxy, sample backend server and history checker.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Peer protocol between the processes of the fleet.
