Add the request path of the entry proxy without its service task

Cause: the listener, the forwarding rules and the connection to a backend server do not depend on policy. Seen: builds; no test drives it yet.

--- /dev/null
+++ b/crates/entry/src/forward.rs
@@ -0,0 +1,144 @@
+//! What goes on to the backend server: the request without key and hop-by-hop headers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Request, Uri};
+use radishpaddle_model::OrganisationKey;
+
+use crate::answer::REQUEST_ID;
+
+/// Header with an organisation key.
+pub const API_KEY: HeaderName = HeaderName::from_static("x-api-key");
+
+/// Header with the remaining time in milliseconds.
+pub const DEADLINE_MS: HeaderName = HeaderName::from_static("x-deadline-ms");
+
+/// Header that names an action over its attempts.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Headers that belong to one connection (RFC 9110, section 7.6.1), and those that carry keys.
+const NOT_FORWARDED: [HeaderName; 12] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    header::AUTHORIZATION,
+    API_KEY,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// Key that a caller presents in `X-Api-Key` or as bearer token.
+#[must_use]
+pub fn presented_key(headers: &HeaderMap) -> Option<&str> {
+    if let Some(value) = headers.get(API_KEY) {
+        return value.to_str().ok();
+    }
+    let authorization = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, token) = authorization.split_once(' ')?;
+    scheme
+        .eq_ignore_ascii_case("bearer")
+        .then(|| token.trim_start())
+}
+
+/// Whether path, query or body contain the key, so that forwarding them would reveal it.
+#[must_use]
+pub fn reveals_key(uri: &Uri, body: &[u8], key: &OrganisationKey) -> bool {
+    let secret = key.reveal();
+    uri.to_string().contains(secret) || contains(body, secret.as_bytes())
+}
+
+fn contains(haystack: &[u8], needle: &[u8]) -> bool {
+    haystack
+        .windows(needle.len())
+        .any(|window| window[0] == needle[0] && window == needle)
+}
+
+/// A request that is complete in memory and can be sent more than once.
+#[derive(Debug, Clone)]
+pub struct ForwardRequest {
+    parts: Parts,
+    body: Bytes,
+}
+
+impl ForwardRequest {
+    /// Takes over what may be forwarded.
+    #[must_use]
+    pub fn new(mut parts: Parts, body: Bytes, key: Option<&OrganisationKey>, id: &str) -> Self {
+        let named = connection_headers(&parts.headers);
+        for name in NOT_FORWARDED.iter().chain(&named) {
+            parts.headers.remove(name);
+        }
+        if let Some(key) = key {
+            remove_values_with(&mut parts.headers, key.reveal().as_bytes());
+        }
+        if let Ok(value) = HeaderValue::from_str(id) {
+            parts.headers.insert(REQUEST_ID, value);
+        }
+        parts.version = hyper::Version::HTTP_11;
+        parts.extensions.clear();
+        if let Some(path) = parts.uri.path_and_query() {
+            parts.uri = Uri::from(path.clone());
+        }
+        Self { parts, body }
+    }
+
+    /// The request for one attempt with the time that is left for it.
+    #[must_use]
+    pub fn attempt(&self, remaining: Duration) -> Request<Full<Bytes>> {
+        let mut parts = self.parts.clone();
+        let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+        parts
+            .headers
+            .insert(DEADLINE_MS, HeaderValue::from(remaining_ms));
+        Request::from_parts(parts, Full::new(self.body.clone()))
+    }
+
+    /// Method, path with query and body, for fingerprints.
+    #[must_use]
+    pub fn identity(&self) -> (&str, &str, &[u8]) {
+        let path = self
+            .parts
+            .uri
+            .path_and_query()
+            .map_or("", |path| path.as_str());
+        (self.parts.method.as_str(), path, &self.body)
+    }
+}
+
+fn connection_headers(headers: &HeaderMap) -> Vec<HeaderName> {
+    headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect()
+}
+
+fn remove_values_with(headers: &mut HeaderMap, secret: &[u8]) {
+    let revealing: Vec<HeaderName> = headers
+        .iter()
+        .filter(|(_, value)| contains(value.as_bytes(), secret))
+        .map(|(name, _)| name.clone())
+        .collect();
+    for name in revealing {
+        headers.remove(name);
+    }
+}
+
+/// Removes the headers of an answer that belong to the connection to the backend server.
+pub fn strip_answer_headers(headers: &mut HeaderMap) {
+    let named = connection_headers(headers);
+    for name in NOT_FORWARDED.iter().chain(&named) {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,236 @@
+//! Settings of an entry instance.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use radishpaddle_kernel::settings::Report;
+use radishpaddle_kernel::{CommonSettings, ProcessSettings};
+use radishpaddle_model::{AvailabilityZone, InstanceId};
+use serde::{Deserialize, Serialize};
+
+/// Settings file of `radishpaddle-entry`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// What every program has.
+    pub common: CommonSettings,
+    /// Addresses that are bound.
+    pub listen: ListenSettings,
+    /// Addresses that others use, where they differ from the bound ones.
+    #[serde(default)]
+    pub advertise: AdvertiseSettings,
+    /// Witnesses of the fleet, the same list on every instance.
+    pub witnesses: Vec<WitnessSettings>,
+    /// Shared secret that backend servers present in announcements.
+    pub backend_token: Arc<str>,
+    /// Limits on callers and backend servers.
+    #[serde(default)]
+    pub limits: LimitSettings,
+    /// Periods and lifetimes.
+    #[serde(default)]
+    pub timing: TimingSettings,
+}
+
+/// Addresses that are bound.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenSettings {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// Announcements of backend servers.
+    pub backend_servers: SocketAddr,
+    /// Other processes of the fleet.
+    pub peers: SocketAddr,
+}
+
+/// Addresses that others use, where they differ from the bound ones.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct AdvertiseSettings {
+    /// Address for callers.
+    pub callers: Option<SocketAddr>,
+    /// Address for other processes of the fleet.
+    pub peers: Option<SocketAddr>,
+}
+
+/// One witness.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WitnessSettings {
+    /// Instance that is the witness.
+    pub instance: InstanceId,
+    /// Its availability zone.
+    pub availability_zone: AvailabilityZone,
+    /// Its address for peers.
+    pub peer_address: SocketAddr,
+}
+
+/// Limits on callers and backend servers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// Open connections of callers.
+    pub caller_connections: usize,
+    /// Bytes of a request head.
+    pub header_bytes: usize,
+    /// Longest time for a request head, and for an idle connection.
+    pub header_timeout_ms: u64,
+    /// Longest time for a request body.
+    pub body_timeout_ms: u64,
+    /// Waiting requests per service.
+    pub queue_length: usize,
+    /// Longest time to connect to a backend server.
+    pub connect_timeout_ms: u64,
+    /// Idle connections kept per backend server.
+    pub idle_connections_per_server: usize,
+}
+
+/// Periods and lifetimes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct TimingSettings {
+    /// Period of polls to the witnesses.
+    pub poll_ms: u64,
+    /// Period of the exchange with the witness leader.
+    pub sync_ms: u64,
+    /// Oldest freshness evidence with which requests are admitted.
+    pub freshness_limit_ms: u64,
+    /// Longest time a caller may keep the answer about addresses.
+    pub address_lifetime_ms: u64,
+    /// Longest time a caller may keep an idle connection.
+    pub keep_alive_ms: u64,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            caller_connections: 4096,
+            header_bytes: 32 << 10,
+            header_timeout_ms: 10_000,
+            body_timeout_ms: 10_000,
+            queue_length: 1024,
+            connect_timeout_ms: 500,
+            idle_connections_per_server: 16,
+        }
+    }
+}
+
+impl Default for TimingSettings {
+    fn default() -> Self {
+        Self {
+            poll_ms: 500,
+            sync_ms: 250,
+            freshness_limit_ms: 4_000,
+            address_lifetime_ms: 5_000,
+            keep_alive_ms: 5_000,
+        }
+    }
+}
+
+impl EntrySettings {
+    /// Address for callers.
+    #[must_use]
+    pub fn caller_address(&self) -> SocketAddr {
+        self.advertise.callers.unwrap_or(self.listen.callers)
+    }
+
+    /// Address for other processes of the fleet.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddr {
+        self.advertise.peers.unwrap_or(self.listen.peers)
+    }
+
+    /// Whether this instance is a witness.
+    #[must_use]
+    pub fn is_witness(&self) -> bool {
+        let own = &self.common.instance;
+        self.witnesses
+            .iter()
+            .any(|witness| &witness.instance == own)
+    }
+
+    fn check_witnesses(&self, report: &mut Report) {
+        let count = self.witnesses.len();
+        if count.is_multiple_of(2) || count > 7 {
+            report.add("witnesses", &count, "1, 3, 5 or 7 witnesses");
+        }
+        let mut names = BTreeSet::new();
+        for (index, witness) in self.witnesses.iter().enumerate() {
+            if !names.insert(&witness.instance) {
+                let field = format!("witnesses[{index}].instance");
+                report.add(&field, &witness.instance, "each instance once");
+            }
+        }
+    }
+}
+
+impl ProcessSettings for EntrySettings {
+    fn common(&self) -> &CommonSettings {
+        &self.common
+    }
+
+    fn check(&self, report: &mut Report) {
+        self.common.check(report);
+        self.check_witnesses(report);
+        let mut addresses = vec![("listen.peers".to_owned(), self.listen.peers)];
+        for (index, witness) in self.witnesses.iter().enumerate() {
+            let field = format!("witnesses[{index}].peer_address");
+            addresses.push((field, witness.peer_address));
+        }
+        self.common.check_peer_addresses(report, &addresses);
+        if self.backend_token.len() < 16 {
+            report.add("backend_token", &"(hidden)", "at least 16 characters");
+        }
+        self.limits.check(report);
+        self.timing.check(report);
+    }
+}
+
+impl LimitSettings {
+    fn check(&self, report: &mut Report) {
+        report.range("limits.caller_connections", self.caller_connections, 1, 100_000);
+        report.range("limits.header_bytes", self.header_bytes, 8 << 10, 1 << 20);
+        report.range("limits.header_timeout_ms", self.header_timeout_ms, 100, 120_000);
+        report.range("limits.body_timeout_ms", self.body_timeout_ms, 100, 600_000);
+        report.range("limits.queue_length", self.queue_length, 1, 100_000);
+        report.range("limits.connect_timeout_ms", self.connect_timeout_ms, 10, 60_000);
+        let idle = self.idle_connections_per_server;
+        report.range("limits.idle_connections_per_server", idle, 0, 1024);
+    }
+}
+
+impl TimingSettings {
+    /// Time of a planned stop during which callers may still come with an old address answer or on
+    /// an idle connection.
+    #[must_use]
+    pub const fn drain_window(&self) -> Duration {
+        const MARGIN_MS: u64 = 2_000;
+        Duration::from_millis(self.address_lifetime_ms + self.keep_alive_ms + MARGIN_MS)
+    }
+
+    /// Oldest freshness evidence with which requests are admitted.
+    #[must_use]
+    pub const fn freshness_limit(&self) -> Duration {
+        Duration::from_millis(self.freshness_limit_ms)
+    }
+
+    fn check(&self, report: &mut Report) {
+        report.range("timing.poll_ms", self.poll_ms, 10, 1_000);
+        report.range("timing.sync_ms", self.sync_ms, 10, 1_000);
+        report.range("timing.freshness_limit_ms", self.freshness_limit_ms, 100, 4_000);
+        report.range("timing.address_lifetime_ms", self.address_lifetime_ms, 0, 60_000);
+        report.range("timing.keep_alive_ms", self.keep_alive_ms, 100, 60_000);
+        if self.poll_ms * 3 > self.freshness_limit_ms {
+            let allowed = "at least three times timing.poll_ms";
+            report.add("timing.freshness_limit_ms", &self.freshness_limit_ms, allowed);
+        }
+    }
+}
