--- /dev/null
+++ b/crates/policy/src/balancer.rs
@@ -0,0 +1,437 @@
+//! Choice of a backend server for a request, at one entry instance and for one service.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use radishpaddle_model::{AvailabilityZone, InstanceId, Percent};
+use rand::Rng;
+
+use crate::floor::floor_slots;
+use crate::key::{ServerKey, mix};
+use crate::path::{PathAvoidance, PathState};
+use crate::verdict::{LAST_RESORT_WEIGHT, LocalStanding, VerdictVersion, VerdictView};
+
+/// Members sampled for a request. Two suffice to avoid the worst (power of two choices); four
+/// find a free slot at 90 % load more often, and the remaining cases scan all members.
+const SAMPLES: usize = 4;
+
+/// Longest time for which the candidates are kept. They are recomputed at once when a verdict
+/// list or a path state changes; the period covers what changes with time alone.
+const REFRESH_PERIOD: Duration = Duration::from_millis(100);
+
+/// Cost factor of a server in another availability zone; prefers the own zone among servers at
+/// equal load without concentrating the load.
+const OTHER_ZONE_FACTOR: f64 = 1.1;
+
+/// Weight of a server that started less than its warm-up time ago.
+const COLD_WEIGHT: f64 = 0.3;
+
+/// Weight of a new sample in the average latency of a server.
+const LATENCY_GAIN: f64 = 0.1;
+
+/// Bounds of the cost factor by latency. They are narrow because a slow server must keep
+/// receiving requests until the evidence suffices for the leader.
+const LATENCY_FACTOR: (f64, f64) = (0.8, 1.25);
+
+/// A backend server as the balancer needs it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Member {
+    /// The backend server.
+    pub server: ServerKey,
+    /// Where it runs.
+    pub zone: AvailabilityZone,
+    /// Requests it runs at the same time.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub draining: bool,
+    /// Local time until which it counts as cold after its start.
+    pub cold_until: Duration,
+}
+
+/// A chosen backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pick {
+    /// The backend server.
+    pub server: ServerKey,
+    /// Whether all slots of the server are in use as far as this instance knows. The caller may
+    /// queue the request instead.
+    pub over_slots: bool,
+    /// Whether this is a trial request of a server on probation.
+    pub trial: bool,
+}
+
+/// Properties of the request to route.
+#[derive(Debug, Clone, Copy)]
+pub struct PickRequest<'a> {
+    /// Time of the decision.
+    pub now: Duration,
+    /// Whether the request may go to a server on probation; true for idempotent requests.
+    pub may_trial: bool,
+    /// Servers that this request has tried already.
+    pub exclude: &'a [ServerKey],
+}
+
+#[derive(Debug, Clone)]
+struct MemberState {
+    member: Member,
+    rank: u64,
+    own: u32,
+    others: u32,
+    /// Average of the natural logarithm of the latency in milliseconds.
+    latency_ln: Option<f64>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Candidate {
+    index: usize,
+    weight: f64,
+    factor: f64,
+}
+
+/// Chooses backend servers of one service by load, zone, latency, verdicts and path state.
+///
+/// A choice costs a few samples, and one step per candidate when all sampled servers are full. It
+/// allocates nothing. The candidates are recomputed at most every 100 ms or on a change, at one
+/// step per member.
+#[derive(Debug)]
+pub struct Balancer {
+    instance_hash: u64,
+    zone: AvailabilityZone,
+    floor_slots: u32,
+    subset_size: usize,
+    members: Vec<MemberState>,
+    index: HashMap<ServerKey, usize>,
+    candidates: Vec<Candidate>,
+    trial: Option<usize>,
+    refreshed: Option<(Duration, VerdictVersion, u64)>,
+}
+
+impl Balancer {
+    /// Balancer of an entry instance in `zone`, without members.
+    #[must_use]
+    pub fn new(instance: &InstanceId, zone: AvailabilityZone) -> Self {
+        let instance_hash = instance.as_str().bytes().fold(0, |hash: u64, byte| {
+            mix(hash.wrapping_mul(31).wrapping_add(u64::from(byte)))
+        });
+        Self {
+            instance_hash,
+            zone,
+            floor_slots: 0,
+            subset_size: usize::MAX,
+            members: Vec::new(),
+            index: HashMap::new(),
+            candidates: Vec::new(),
+            trial: None,
+            refreshed: None,
+        }
+    }
+
+    /// Replaces the members; what is known about those that remain is kept. `subset_size` is the
+    /// number of usable servers that this instance sends to, see [`subset_size`].
+    pub fn set_members(&mut self, members: &[Member], floor: Percent, subset_size: usize) {
+        let mut known: HashMap<ServerKey, MemberState> = self
+            .members
+            .drain(..)
+            .map(|state| (state.member.server, state))
+            .collect();
+        self.members = members
+            .iter()
+            .map(|member| keep(known.remove(&member.server), member, self.instance_hash))
+            .collect();
+        self.members
+            .sort_unstable_by_key(|state| (state.rank, state.member.server));
+        self.index = (self.members.iter().enumerate())
+            .map(|(index, state)| (state.member.server, index))
+            .collect();
+        let announced = members.iter().map(|member| member.slots).sum();
+        self.floor_slots = floor_slots(announced, floor);
+        self.subset_size = subset_size.max(1);
+        self.refreshed = None;
+    }
+
+    /// Sets the requests that the other instances have in flight at a server, as told by the
+    /// leader.
+    pub fn set_others_in_flight(&mut self, server: ServerKey, others: u32) {
+        if let Some(state) = self.state_mut(server) {
+            state.others = others;
+        }
+    }
+
+    /// Records that a request of this instance was sent.
+    pub fn dispatched(&mut self, server: ServerKey) {
+        if let Some(state) = self.state_mut(server) {
+            state.own = state.own.saturating_add(1);
+        }
+    }
+
+    /// Records that a request of this instance ended. `latency` is given for successful
+    /// responses only.
+    pub fn completed(&mut self, server: ServerKey, latency: Option<Duration>) {
+        let Some(state) = self.state_mut(server) else {
+            return;
+        };
+        state.own = state.own.saturating_sub(1);
+        if let Some(latency) = latency {
+            let sample = (latency.as_secs_f64() * 1000.0).max(0.1).ln();
+            let average = state.latency_ln.unwrap_or(sample);
+            state.latency_ln = Some(average + LATENCY_GAIN * (sample - average));
+        }
+    }
+
+    /// Chooses a server. Returns `None` when no server is usable.
+    pub fn pick(
+        &mut self,
+        request: &PickRequest<'_>,
+        verdicts: &VerdictView,
+        paths: &PathAvoidance,
+        rng: &mut impl Rng,
+    ) -> Option<Pick> {
+        self.refresh(verdicts, paths, request.now);
+        if let Some(pick) = self.pick_trial(request) {
+            return Some(pick);
+        }
+        let sampled = self.sample(request, rng);
+        let free = sampled.filter(|candidate| self.in_flight(*candidate) < self.slots(*candidate));
+        let chosen = free.or_else(|| self.scan(request, rng))?;
+        Some(Pick {
+            server: self.members[chosen.index].member.server,
+            over_slots: self.in_flight(chosen) >= self.slots(chosen),
+            trial: false,
+        })
+    }
+
+    /// Slots that this instance may use: not draining, not ejected, and not avoided unless the
+    /// floor demands it. For metrics.
+    pub fn usable_slots(
+        &mut self,
+        verdicts: &VerdictView,
+        paths: &PathAvoidance,
+        now: Duration,
+    ) -> u32 {
+        self.refreshed = None;
+        let subset_size = std::mem::replace(&mut self.subset_size, usize::MAX);
+        self.refresh(verdicts, paths, now);
+        let usable = self
+            .candidates
+            .iter()
+            .map(|candidate| self.slots(*candidate));
+        let usable = usable.sum();
+        self.subset_size = subset_size;
+        self.refreshed = None;
+        usable
+    }
+
+    fn state_mut(&mut self, server: ServerKey) -> Option<&mut MemberState> {
+        let index = *self.index.get(&server)?;
+        self.members.get_mut(index)
+    }
+
+    fn slots(&self, candidate: Candidate) -> u32 {
+        self.members[candidate.index].member.slots.max(1)
+    }
+
+    fn in_flight(&self, candidate: Candidate) -> u32 {
+        let state = &self.members[candidate.index];
+        state.own.saturating_add(state.others)
+    }
+
+    fn cost(&self, candidate: Candidate) -> f64 {
+        let busy = f64::from(self.in_flight(candidate)) + 1.0;
+        busy / f64::from(self.slots(candidate)) * candidate.factor
+    }
+
+    fn pick_trial(&self, request: &PickRequest<'_>) -> Option<Pick> {
+        let state = &self.members[self.trial?];
+        let server = state.member.server;
+        if !request.may_trial || state.own > 0 || request.exclude.contains(&server) {
+            return None;
+        }
+        Some(Pick {
+            server,
+            over_slots: false,
+            trial: true,
+        })
+    }
+
+    fn sample(&self, request: &PickRequest<'_>, rng: &mut impl Rng) -> Option<Candidate> {
+        if self.candidates.is_empty() {
+            return None;
+        }
+        let mut best: Option<(f64, Candidate)> = None;
+        for _ in 0..SAMPLES {
+            let candidate = self.candidates[rng.random_range(0..self.candidates.len())];
+            // A reduced weight reduces how often the server is considered, so that it receives its
+            // part also when the others are hardly loaded.
+            let considered = candidate.weight >= 1.0 || rng.random_bool(candidate.weight);
+            if !considered || self.is_excluded(candidate, request) {
+                continue;
+            }
+            let cost = self.cost(candidate);
+            if best.is_none_or(|(lowest, _)| cost < lowest) {
+                best = Some((cost, candidate));
+            }
+        }
+        best.map(|(_, candidate)| candidate)
+    }
+
+    fn scan(&self, request: &PickRequest<'_>, rng: &mut impl Rng) -> Option<Candidate> {
+        let count = self.candidates.len();
+        if count == 0 {
+            return None;
+        }
+        let start = rng.random_range(0..count);
+        let rotated = self.candidates[start..]
+            .iter()
+            .chain(&self.candidates[..start]);
+        let allowed = rotated.filter(|candidate| !self.is_excluded(**candidate, request));
+        let weighted = |candidate: &Candidate| self.cost(*candidate) / candidate.weight;
+        allowed
+            .min_by(|left, right| weighted(left).total_cmp(&weighted(right)))
+            .copied()
+    }
+
+    fn is_excluded(&self, candidate: Candidate, request: &PickRequest<'_>) -> bool {
+        let server = self.members[candidate.index].member.server;
+        request.exclude.contains(&server)
+    }
+
+    fn refresh(&mut self, verdicts: &VerdictView, paths: &PathAvoidance, now: Duration) {
+        let version = verdicts.applied(now);
+        let generation = paths.generation();
+        if let Some((at, known_version, known_generation)) = self.refreshed {
+            let unchanged = (known_version, known_generation) == (version, generation);
+            if unchanged && now < at + REFRESH_PERIOD {
+                return;
+            }
+        }
+        self.refreshed = Some((now, version, generation));
+        self.rebuild(verdicts, paths, now);
+    }
+
+    fn rebuild(&mut self, verdicts: &VerdictView, paths: &PathAvoidance, now: Duration) {
+        self.candidates.clear();
+        self.trial = None;
+        let mean_ln = self.mean_latency_ln();
+        let mut usable = 0;
+        for index in 0..self.members.len() {
+            let state = &self.members[index];
+            if state.member.draining {
+                continue;
+            }
+            let server = state.member.server;
+            let weight = match verdicts.standing(server, now) {
+                LocalStanding::InRotation { weight } => weight,
+                LocalStanding::TrialHere => {
+                    self.trial = Some(index);
+                    continue;
+                }
+                LocalStanding::Out => continue,
+            };
+            if is_avoided(state, paths, now) {
+                continue;
+            }
+            usable += state.member.slots;
+            if self.candidates.len() < self.subset_size {
+                let candidate = self.candidate(index, weight, mean_ln, now);
+                self.candidates.push(candidate);
+            }
+        }
+        if usable < self.floor_slots || self.candidates.is_empty() {
+            self.readmit_avoided(usable, verdicts, paths, now);
+        }
+    }
+
+    /// Adds avoided servers with the lowest weight until the floor is met.
+    fn readmit_avoided(
+        &mut self,
+        mut usable: u32,
+        verdicts: &VerdictView,
+        paths: &PathAvoidance,
+        now: Duration,
+    ) {
+        for index in 0..self.members.len() {
+            if usable >= self.floor_slots.max(1) {
+                return;
+            }
+            let state = &self.members[index];
+            let standing = verdicts.standing(state.member.server, now);
+            let in_rotation = matches!(standing, LocalStanding::InRotation { .. });
+            if state.member.draining || !in_rotation || !is_avoided(state, paths, now) {
+                continue;
+            }
+            usable += state.member.slots;
+            self.candidates.push(Candidate {
+                index,
+                weight: LAST_RESORT_WEIGHT,
+                factor: 1.0,
+            });
+        }
+    }
+
+    fn candidate(&self, index: usize, weight: f64, mean_ln: f64, now: Duration) -> Candidate {
+        let state = &self.members[index];
+        let cold = now < state.member.cold_until;
+        let zone = if state.member.zone == self.zone {
+            1.0
+        } else {
+            OTHER_ZONE_FACTOR
+        };
+        let ratio = state
+            .latency_ln
+            .map_or(1.0, |latency| (latency - mean_ln).exp());
+        Candidate {
+            index,
+            weight: if cold {
+                weight.min(COLD_WEIGHT)
+            } else {
+                weight
+            },
+            factor: zone * ratio.clamp(LATENCY_FACTOR.0, LATENCY_FACTOR.1),
+        }
+    }
+
+    fn mean_latency_ln(&self) -> f64 {
+        let known = self.members.iter().filter_map(|state| state.latency_ln);
+        let (sum, count) = known.fold((0.0, 0.0), |(sum, count), latency| {
+            (sum + latency, count + 1.0)
+        });
+        if count > 0.0 { sum / count } else { 0.0 }
+    }
+}
+
+fn is_avoided(state: &MemberState, paths: &PathAvoidance, now: Duration) -> bool {
+    match paths.state(state.member.server, now) {
+        PathState::Clear => false,
+        PathState::Avoided => true,
+        PathState::Retest => state.own > 0,
+    }
+}
+
+fn keep(known: Option<MemberState>, member: &Member, instance_hash: u64) -> MemberState {
+    let fresh = MemberState {
+        member: member.clone(),
+        rank: mix(member.server.0 ^ instance_hash),
+        own: 0,
+        others: 0,
+        latency_ln: None,
+    };
+    known.map_or(fresh, |state| MemberState {
+        member: member.clone(),
+        ..state
+    })
+}
+
+/// Number of servers that one instance sends to, so that no server gets more connections than its
+/// limit: `servers * connection_limit / (instances * connections_per_pair)`, at least 3 for a
+/// choice and for retries, at most all servers.
+#[must_use]
+pub fn subset_size(
+    servers: usize,
+    instances: usize,
+    connection_limit: usize,
+    connections_per_pair: usize,
+) -> usize {
+    let pairs = instances.saturating_mul(connections_per_pair).max(1);
+    let share = servers.saturating_mul(connection_limit) / pairs;
+    share.max(3).min(servers)
+}
--- /dev/null
+++ b/crates/policy/src/evidence.rs
@@ -0,0 +1,353 @@
+//! Evidence about backend servers from real requests, collected by one entry instance.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::key::{RequestClass, ServerKey};
+use crate::latency::Histogram;
+
+/// Period at which cells are drained and sent to the leader.
+pub const DRAIN_PERIOD: Duration = Duration::from_millis(250);
+
+/// Cells that a recorder keeps per class. Further requests are counted under
+/// [`RequestClass::OTHER`], so the number of cells is at most this plus one per backend server.
+pub const MAX_CELLS: usize = 4096;
+
+/// How a dispatched request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Completion {
+    /// Complete response; statuses from 500 count as errors.
+    Answered {
+        /// HTTP status.
+        status: u16,
+    },
+    /// The response ended early or was malformed.
+    Truncated,
+    /// No complete response within the time allowed.
+    TimedOut,
+    /// The backend server refused the request because it is busy.
+    Shed,
+    /// No connection could be opened.
+    ConnectFailed,
+    /// The connection was lost with the request in flight.
+    ConnectionLost,
+    /// The entry instance cancelled the request: hedge loser, caller gone, or deadline of the
+    /// caller.
+    Cancelled,
+    /// The backend server crashed on a request that is suspect or quarantined; not evidence
+    /// against the server.
+    ChargedToRequest,
+}
+
+/// Evidence of one entry instance about one backend server and request class over one drain
+/// period. Counts are of the period; `in_flight` and `waiting` are the state at its end.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cell {
+    /// The backend server.
+    pub server: ServerKey,
+    /// The request class.
+    pub class: RequestClass,
+    /// Requests dispatched.
+    pub dispatched: u32,
+    /// Responses with a status below 500.
+    pub succeeded: u32,
+    /// Responses with a status of 500 or above.
+    pub errors: u32,
+    /// Truncated or malformed responses.
+    pub truncated: u32,
+    /// Time-outs of requests that were sent while a slot was free.
+    pub timed_out: u32,
+    /// Failed connection attempts.
+    pub connect_failed: u32,
+    /// Connections lost with a request in flight.
+    pub connection_lost: u32,
+    /// Requests shed; not a fault.
+    pub shed: u32,
+    /// Requests cancelled; not a fault.
+    pub cancelled: u32,
+    /// Requests in flight at the end of the period.
+    pub in_flight: u32,
+    /// Integral of the requests in flight over the period, in request-milliseconds.
+    pub busy_ms: u32,
+    /// Service times of the successful responses to requests sent while a slot was free.
+    pub latency: Histogram,
+    /// Lower bounds of service times: cancelled requests, and time-outs above the slot count.
+    pub censored: Histogram,
+    /// Ages of the requests in flight that were sent while a slot was free.
+    pub waiting: Histogram,
+}
+
+impl Cell {
+    fn new(server: ServerKey, class: RequestClass) -> Self {
+        Self {
+            server,
+            class,
+            dispatched: 0,
+            succeeded: 0,
+            errors: 0,
+            truncated: 0,
+            timed_out: 0,
+            connect_failed: 0,
+            connection_lost: 0,
+            shed: 0,
+            cancelled: 0,
+            in_flight: 0,
+            busy_ms: 0,
+            latency: Histogram::default(),
+            censored: Histogram::default(),
+            waiting: Histogram::default(),
+        }
+    }
+
+    /// Requests that failed by fault of the server or the path.
+    #[must_use]
+    pub fn failures(&self) -> u32 {
+        let answered = self.errors.saturating_add(self.truncated);
+        let lost = self.connect_failed.saturating_add(self.connection_lost);
+        answered.saturating_add(lost).saturating_add(self.timed_out)
+    }
+
+    fn is_idle(&self) -> bool {
+        let counts = [
+            self.dispatched,
+            self.succeeded,
+            self.failures(),
+            self.shed,
+            self.cancelled,
+            self.in_flight,
+        ];
+        counts.iter().all(|count| *count == 0) && self.censored.is_empty()
+    }
+}
+
+/// Names a dispatched request until its completion is recorded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct DispatchId {
+    slot: usize,
+    generation: u32,
+}
+
+/// A request whose completion was recorded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Recorded {
+    /// Backend server that had the request.
+    pub server: ServerKey,
+    /// Time from dispatch to completion.
+    pub elapsed: Duration,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Dispatch {
+    server: ServerKey,
+    class: RequestClass,
+    at: Duration,
+    over_slots: bool,
+}
+
+#[derive(Debug, Default)]
+struct DispatchSlot {
+    generation: u32,
+    dispatch: Option<Dispatch>,
+}
+
+#[derive(Debug)]
+struct OpenCell {
+    cell: Cell,
+    /// Integral in request-microseconds up to `integrated_until`.
+    busy_us: u64,
+    integrated_until: Duration,
+}
+
+/// Turns the events of requests into cells.
+///
+/// An event costs one hash look-up and allocates only when a cell or the table of requests in
+/// flight grows. Memory is bounded by the requests in flight plus the cells of the period.
+#[derive(Debug, Default)]
+pub struct Recorder {
+    cells: HashMap<(ServerKey, RequestClass), OpenCell>,
+    in_flight: HashMap<ServerKey, u32>,
+    dispatches: Vec<DispatchSlot>,
+    free: Vec<usize>,
+}
+
+impl Recorder {
+    /// Recorder without evidence.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records that a request is sent. `over_slots` says that all slots of the server were in use
+    /// as far as this instance knows ([`crate::Pick::over_slots`]); such a request is no latency
+    /// evidence.
+    pub fn dispatched(
+        &mut self,
+        server: ServerKey,
+        class: RequestClass,
+        over_slots: bool,
+        now: Duration,
+    ) -> DispatchId {
+        let class = self.class_in_use(server, class);
+        let open = self.open(server, class, now);
+        open.integrate(now);
+        open.cell.dispatched += 1;
+        open.cell.in_flight += 1;
+        *self.in_flight.entry(server).or_insert(0) += 1;
+        self.insert(Dispatch {
+            server,
+            class,
+            at: now,
+            over_slots,
+        })
+    }
+
+    /// Records the end of a request. Returns `None` when the end was recorded before.
+    pub fn completed(
+        &mut self,
+        id: DispatchId,
+        completion: Completion,
+        now: Duration,
+    ) -> Option<Recorded> {
+        let dispatch = self.take(id)?;
+        let elapsed = now.saturating_sub(dispatch.at);
+        let open = self.open(dispatch.server, dispatch.class, now);
+        open.integrate(now);
+        open.cell.in_flight = open.cell.in_flight.saturating_sub(1);
+        count(&mut open.cell, completion, dispatch.over_slots, elapsed);
+        self.leave(dispatch.server);
+        Some(Recorded {
+            server: dispatch.server,
+            elapsed,
+        })
+    }
+
+    /// Requests that this instance has in flight at a server.
+    #[must_use]
+    pub fn in_flight(&self, server: ServerKey) -> u32 {
+        self.in_flight.get(&server).copied().unwrap_or(0)
+    }
+
+    /// Ends the period and returns its cells. Costs one step per cell and request in flight.
+    pub fn drain(&mut self, now: Duration) -> Vec<Cell> {
+        self.add_waiting(now);
+        let mut drained = Vec::with_capacity(self.cells.len());
+        for open in self.cells.values_mut() {
+            let cell = open.close(now);
+            if !cell.is_idle() {
+                drained.push(cell);
+            }
+        }
+        self.cells.retain(|_, open| open.cell.in_flight > 0);
+        drained.sort_unstable_by_key(|cell| (cell.server, cell.class));
+        drained
+    }
+
+    fn add_waiting(&mut self, now: Duration) {
+        for dispatch in self.dispatches.iter().filter_map(|slot| slot.dispatch) {
+            if dispatch.over_slots {
+                continue;
+            }
+            if let Some(open) = self.cells.get_mut(&(dispatch.server, dispatch.class)) {
+                open.cell.waiting.add(now.saturating_sub(dispatch.at));
+            }
+        }
+    }
+
+    fn class_in_use(&self, server: ServerKey, class: RequestClass) -> RequestClass {
+        if self.cells.len() < MAX_CELLS || self.cells.contains_key(&(server, class)) {
+            class
+        } else {
+            RequestClass::OTHER
+        }
+    }
+
+    fn open(&mut self, server: ServerKey, class: RequestClass, now: Duration) -> &mut OpenCell {
+        self.cells
+            .entry((server, class))
+            .or_insert_with(|| OpenCell {
+                cell: Cell::new(server, class),
+                busy_us: 0,
+                integrated_until: now,
+            })
+    }
+
+    fn insert(&mut self, dispatch: Dispatch) -> DispatchId {
+        let slot = self.free.pop().unwrap_or_else(|| {
+            self.dispatches.push(DispatchSlot::default());
+            self.dispatches.len() - 1
+        });
+        let entry = &mut self.dispatches[slot];
+        entry.dispatch = Some(dispatch);
+        DispatchId {
+            slot,
+            generation: entry.generation,
+        }
+    }
+
+    fn take(&mut self, id: DispatchId) -> Option<Dispatch> {
+        let entry = self.dispatches.get_mut(id.slot)?;
+        if entry.generation != id.generation {
+            return None;
+        }
+        let dispatch = entry.dispatch.take()?;
+        entry.generation = entry.generation.wrapping_add(1);
+        self.free.push(id.slot);
+        Some(dispatch)
+    }
+
+    fn leave(&mut self, server: ServerKey) {
+        if let Some(count) = self.in_flight.get_mut(&server) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                self.in_flight.remove(&server);
+            }
+        }
+    }
+}
+
+impl OpenCell {
+    fn integrate(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.integrated_until);
+        let elapsed_us = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
+        let busy_us = elapsed_us.saturating_mul(u64::from(self.cell.in_flight));
+        self.busy_us = self.busy_us.saturating_add(busy_us);
+        self.integrated_until = now;
+    }
+
+    fn close(&mut self, now: Duration) -> Cell {
+        self.integrate(now);
+        self.cell.busy_ms = u32::try_from(self.busy_us / 1000).unwrap_or(u32::MAX);
+        self.busy_us = 0;
+        let mut next = Cell::new(self.cell.server, self.cell.class);
+        next.in_flight = self.cell.in_flight;
+        std::mem::replace(&mut self.cell, next)
+    }
+}
+
+fn count(cell: &mut Cell, completion: Completion, over_slots: bool, elapsed: Duration) {
+    match completion {
+        Completion::Answered { status } if status >= 500 => cell.errors += 1,
+        Completion::Answered { .. } => {
+            cell.succeeded += 1;
+            if !over_slots {
+                cell.latency.add(elapsed);
+            }
+        }
+        Completion::Truncated => cell.truncated += 1,
+        // Above the slot count the time may have passed in the queue of the server.
+        Completion::TimedOut if over_slots => cell.censored.add(elapsed),
+        Completion::TimedOut => cell.timed_out += 1,
+        Completion::Shed => cell.shed += 1,
+        Completion::ConnectFailed => cell.connect_failed += 1,
+        Completion::ConnectionLost => cell.connection_lost += 1,
+        Completion::Cancelled => {
+            cell.cancelled += 1;
+            if !over_slots {
+                cell.censored.add(elapsed);
+            }
+        }
+        Completion::ChargedToRequest => {}
+    }
+}
--- /dev/null
+++ b/crates/policy/src/poison.rs
@@ -0,0 +1,328 @@
+//! Quarantine of requests that crash backend servers, decided by the leader.
+//!
+//! The bound: a request that crashes every server that runs it costs at most two servers, plus
+//! one for each copy that was in flight when the first crash was reported. The first crash makes
+//! it suspect. A suspect runs only under the one ticket that is out for it, and a crash or a
+//! missing result under that ticket quarantines it. Copies without a ticket were dispatched
+//! before the mark.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use radishpaddle_model::InstanceId;
+use serde::{Deserialize, Serialize};
+
+use crate::quarantine::{Fingerprint, PoisonState, QuarantineEntry, whole_ms};
+
+/// Time for which a suspect is remembered after its last crash.
+pub const SUSPECT_LIFE: Duration = Duration::from_mins(10);
+
+/// Time for which a quarantined request is refused.
+pub const QUARANTINE_LIFE: Duration = Duration::from_mins(10);
+
+/// Longest time for which a ticket allows its request to run. A new leader grants no ticket for
+/// an adopted suspect before this time has passed, since a ticket of its predecessor may be out.
+pub const TICKET_LIFE: Duration = Duration::from_secs(30);
+
+/// Fingerprints that are remembered. An entry takes about 100 bytes, so the table stays below
+/// 1 MB. When it is full, the suspect that expires first makes room, then the quarantined one.
+pub const MAX_ENTRIES: usize = 4096;
+
+/// Names one ticket of one leader.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct TicketId {
+    /// Epoch of the leader.
+    pub epoch: u64,
+    /// Number of the ticket within the epoch.
+    pub number: u64,
+}
+
+/// Response to a request for a ticket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TicketResponse {
+    /// The request may run once. It must be cancelled when `valid_ms` have passed since the
+    /// ticket was asked for.
+    Granted {
+        /// The ticket.
+        ticket: TicketId,
+        /// Time for which the request may run, in milliseconds.
+        valid_ms: u64,
+    },
+    /// No ticket at present; another one is out or may be out.
+    Busy {
+        /// Time until the next ticket at the latest, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// The request is quarantined.
+    Refused {
+        /// Time until the quarantine ends, in milliseconds.
+        remaining_ms: u64,
+    },
+    /// The fingerprint is not suspect; the request runs without a ticket.
+    NotSuspect,
+}
+
+/// How a request under a ticket ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TicketOutcome {
+    /// A backend server answered; the fingerprint is no longer suspect.
+    Answered,
+    /// The request reached no backend server.
+    NotRun,
+    /// The backend server crashed.
+    Crashed,
+    /// Neither an answer nor a crash, for example a time-out; it remains suspect.
+    Unknown,
+}
+
+#[derive(Debug, Clone)]
+struct Ticket {
+    id: TicketId,
+    holder: InstanceId,
+    expires_at: Duration,
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    state: PoisonState,
+    crashes: u32,
+    expires_at: Duration,
+    no_ticket_before: Duration,
+    ticket: Option<Ticket>,
+}
+
+/// Fingerprints that crashed backend servers, as the leader knows them.
+#[derive(Debug)]
+pub struct PoisonRegistry {
+    epoch: u64,
+    started_at: Duration,
+    tickets: u64,
+    generation: u64,
+    entries: HashMap<Fingerprint, Entry>,
+}
+
+impl PoisonRegistry {
+    /// Empty registry of the leader of `epoch`, whose term begins at `now`.
+    #[must_use]
+    pub fn new(epoch: u64, now: Duration) -> Self {
+        Self {
+            epoch,
+            started_at: now,
+            tickets: 0,
+            generation: 0,
+            entries: HashMap::new(),
+        }
+    }
+
+    /// Adds the entries that an entry instance knows from an earlier leader. The worse state and
+    /// the later expiry win.
+    pub fn adopt(&mut self, reported: &[QuarantineEntry], now: Duration) {
+        for entry in reported.iter().take(MAX_ENTRIES) {
+            let expires_at = now + Duration::from_millis(entry.remaining_ms);
+            let no_ticket_before = self.started_at + TICKET_LIFE;
+            let known = self.entry(entry.fingerprint, no_ticket_before, now);
+            let before = (known.state, known.crashes);
+            known.state = known.state.max(entry.state);
+            known.crashes = known.crashes.max(entry.crashes);
+            known.expires_at = known.expires_at.max(expires_at);
+            if before != (known.state, known.crashes) {
+                self.generation += 1;
+            }
+        }
+    }
+
+    /// Records a crash with the request in flight, without a ticket. Returns the new state.
+    pub fn crashed(&mut self, fingerprint: Fingerprint, now: Duration) -> PoisonState {
+        let entry = self.entry(fingerprint, now, now);
+        entry.charge(now);
+        let state = entry.state;
+        self.generation += 1;
+        state
+    }
+
+    /// Grants the ticket for a suspect request that has `deadline` left to run.
+    pub fn request_ticket(
+        &mut self,
+        fingerprint: Fingerprint,
+        holder: &InstanceId,
+        deadline: Duration,
+        now: Duration,
+    ) -> TicketResponse {
+        self.settle(now);
+        let number = self.tickets + 1;
+        let Some(entry) = self.entries.get_mut(&fingerprint) else {
+            return TicketResponse::NotSuspect;
+        };
+        if entry.state == PoisonState::Quarantined {
+            let remaining_ms = whole_ms(entry.expires_at.saturating_sub(now));
+            return TicketResponse::Refused { remaining_ms };
+        }
+        let out_until = entry.ticket.as_ref().map(|ticket| ticket.expires_at);
+        let busy_until = out_until.unwrap_or_default().max(entry.no_ticket_before);
+        if now < busy_until {
+            let retry_after_ms = whole_ms(busy_until.saturating_sub(now));
+            return TicketResponse::Busy { retry_after_ms };
+        }
+        self.tickets = number;
+        let id = TicketId {
+            epoch: self.epoch,
+            number,
+        };
+        entry.grant(id, holder, deadline, now)
+    }
+
+    /// Records the end of a request under a ticket. Returns the state that follows, `None` when
+    /// the fingerprint is no longer suspect. A ticket that is not out is ignored, except that a
+    /// crash always counts.
+    pub fn finish_ticket(
+        &mut self,
+        fingerprint: Fingerprint,
+        ticket: TicketId,
+        outcome: TicketOutcome,
+        now: Duration,
+    ) -> Option<PoisonState> {
+        self.settle(now);
+        if outcome == TicketOutcome::Crashed {
+            return Some(self.crashed(fingerprint, now));
+        }
+        let entry = self.entries.get_mut(&fingerprint)?;
+        if entry.ticket.as_ref().map(|out| out.id) == Some(ticket) {
+            entry.ticket = None;
+            if outcome == TicketOutcome::Answered {
+                self.entries.remove(&fingerprint);
+                self.generation += 1;
+                return None;
+            }
+        }
+        self.entries.get(&fingerprint).map(|entry| entry.state)
+    }
+
+    /// Whether a crash with this request in flight is charged to the request and not to the
+    /// server.
+    #[must_use]
+    pub fn is_charged(&self, fingerprint: &Fingerprint) -> bool {
+        let entry = self.entries.get(fingerprint);
+        entry.is_some_and(|entry| entry.state == PoisonState::Quarantined)
+    }
+
+    /// Instance that holds the ticket of a suspect.
+    #[must_use]
+    pub fn ticket_holder(&self, fingerprint: &Fingerprint) -> Option<&InstanceId> {
+        let entry = self.entries.get(fingerprint)?;
+        entry.ticket.as_ref().map(|ticket| &ticket.holder)
+    }
+
+    /// Changes whenever the list changes for another reason than time.
+    #[must_use]
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// The list for the entry instances.
+    #[must_use]
+    pub fn entries(&self, now: Duration) -> Vec<QuarantineEntry> {
+        let in_force = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| now < entry.expires_at);
+        in_force
+            .map(|(fingerprint, entry)| QuarantineEntry {
+                fingerprint: *fingerprint,
+                state: entry.state,
+                crashes: entry.crashes,
+                remaining_ms: whole_ms(entry.expires_at.saturating_sub(now)),
+            })
+            .collect()
+    }
+
+    /// Ends expired entries, and counts tickets that ended without a result as crashes, since the
+    /// holder may have been lost after the dispatch. Call every drain period; one step per entry.
+    pub fn settle(&mut self, now: Duration) {
+        let mut charged = 0;
+        for entry in self.entries.values_mut() {
+            let expired = |ticket: &Ticket| ticket.expires_at <= now;
+            if entry.ticket.as_ref().is_some_and(expired) {
+                entry.charge(now);
+                charged += 1;
+            }
+        }
+        let before = self.entries.len();
+        self.entries.retain(|_, entry| now < entry.expires_at);
+        if charged > 0 || self.entries.len() != before {
+            self.generation += 1;
+        }
+    }
+
+    fn entry(
+        &mut self,
+        fingerprint: Fingerprint,
+        no_ticket_before: Duration,
+        now: Duration,
+    ) -> &mut Entry {
+        if !self.entries.contains_key(&fingerprint) {
+            self.make_room(now);
+        }
+        self.entries.entry(fingerprint).or_insert(Entry {
+            state: PoisonState::Suspect,
+            crashes: 0,
+            expires_at: now,
+            no_ticket_before,
+            ticket: None,
+        })
+    }
+
+    fn make_room(&mut self, now: Duration) {
+        if self.entries.len() < MAX_ENTRIES {
+            return;
+        }
+        self.settle(now);
+        while self.entries.len() >= MAX_ENTRIES {
+            let first = self
+                .entries
+                .iter()
+                .min_by_key(|(fingerprint, entry)| (entry.state, entry.expires_at, **fingerprint));
+            let Some(oldest) = first.map(|(fingerprint, _)| *fingerprint) else {
+                return;
+            };
+            self.entries.remove(&oldest);
+        }
+    }
+}
+
+impl Entry {
+    fn charge(&mut self, now: Duration) {
+        self.crashes = self.crashes.saturating_add(1);
+        self.ticket = None;
+        if self.crashes >= 2 {
+            self.state = PoisonState::Quarantined;
+        }
+        let life = match self.state {
+            PoisonState::Suspect => SUSPECT_LIFE,
+            PoisonState::Quarantined => QUARANTINE_LIFE,
+        };
+        self.expires_at = now + life;
+    }
+
+    fn grant(
+        &mut self,
+        id: TicketId,
+        holder: &InstanceId,
+        deadline: Duration,
+        now: Duration,
+    ) -> TicketResponse {
+        let valid = deadline.min(TICKET_LIFE);
+        self.ticket = Some(Ticket {
+            id,
+            holder: holder.clone(),
+            // The margin is for the message that reports the result.
+            expires_at: now + valid + TICKET_RESULT_MARGIN,
+        });
+        TicketResponse::Granted {
+            ticket: id,
+            valid_ms: whole_ms(valid),
+        }
+    }
+}
+
+/// Time for the result of a ticket to reach the leader after the request ended.
+const TICKET_RESULT_MARGIN: Duration = Duration::from_secs(2);
--- /dev/null
+++ b/crates/policy/src/quarantine.rs
@@ -0,0 +1,302 @@
+//! Poison requests as one entry instance sees them: fingerprints, crashes, and the list of the
+//! leader.
+
+use std::collections::{HashMap, VecDeque};
+use std::fmt;
+use std::time::Duration;
+
+use radishpaddle_model::{Incarnation, OrganisationId, ServiceId};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::key::ServerKey;
+use crate::poison::{MAX_ENTRIES, SUSPECT_LIFE, TicketId};
+
+/// Time within which a lost connection can be explained by a crash.
+pub const CRASH_WINDOW: Duration = Duration::from_secs(10);
+
+/// Time for which a mark made here outlives a list of the leader that lacks it.
+const LOCAL_MARK_LIFE: Duration = Duration::from_secs(5);
+
+/// Lost requests that are remembered while it is open whether the server crashed.
+pub const MAX_LOST: usize = 1024;
+
+/// Hash of organisation, service, method, path with query, and body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint(pub [u8; 16]);
+
+impl Fingerprint {
+    /// Fingerprint of a request. The first 16 bytes of SHA-256, so that a caller cannot construct
+    /// two requests with one fingerprint.
+    #[must_use]
+    pub fn of(
+        organisation: Option<&OrganisationId>,
+        service: &ServiceId,
+        method: &str,
+        path_and_query: &str,
+        body: &[u8],
+    ) -> Self {
+        let mut hasher = Sha256::new();
+        let organisation = organisation.map_or("", OrganisationId::as_str);
+        for part in [organisation, service.as_str(), method, path_and_query] {
+            hasher.update(u64::try_from(part.len()).unwrap_or(u64::MAX).to_le_bytes());
+            hasher.update(part.as_bytes());
+        }
+        hasher.update(body);
+        let digest = hasher.finalize();
+        let mut bytes = [0; 16];
+        bytes.copy_from_slice(&digest[..16]);
+        Self(bytes)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+/// What is known about a fingerprint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum PoisonState {
+    /// One crash; runs only with a ticket.
+    Suspect,
+    /// Two crashes; refused.
+    Quarantined,
+}
+
+/// Entry of the quarantine list, as the leader sends it and entry instances report it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineEntry {
+    /// The fingerprint.
+    pub fingerprint: Fingerprint,
+    /// What is known about it.
+    pub state: PoisonState,
+    /// Crashes that were attributed to it.
+    pub crashes: u32,
+    /// Time until the entry expires, in milliseconds.
+    pub remaining_ms: u64,
+}
+
+/// Whether a request may be dispatched.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// No crash is known.
+    Run,
+    /// Needs a ticket from the leader.
+    NeedsTicket,
+    /// Refuse as "not run" with code 2012.
+    Refuse {
+        /// Time until the quarantine ends.
+        remaining: Duration,
+    },
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    state: PoisonState,
+    crashes: u32,
+    expires_at: Duration,
+    marked_here_until: Duration,
+}
+
+/// Quarantine list as one entry instance knows it. An entry stays in force until it expires, also
+/// while the leader is unreachable.
+#[derive(Debug, Default)]
+pub struct QuarantineView {
+    known: HashMap<Fingerprint, Known>,
+}
+
+impl QuarantineView {
+    /// Empty list.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Whether no fingerprint is known; the caller may then skip hashing the request.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    /// Whether a request may be dispatched.
+    #[must_use]
+    pub fn admit(&self, fingerprint: &Fingerprint, now: Duration) -> Admission {
+        match self.known.get(fingerprint) {
+            Some(known) if now < known.expires_at => match known.state {
+                PoisonState::Suspect => Admission::NeedsTicket,
+                PoisonState::Quarantined => Admission::Refuse {
+                    remaining: known.expires_at.saturating_sub(now),
+                },
+            },
+            _ => Admission::Run,
+        }
+    }
+
+    /// Marks a fingerprint as suspect at the first sign of a crash, before the leader has
+    /// answered.
+    pub fn suspect(&mut self, fingerprint: Fingerprint, now: Duration) {
+        self.make_room(now);
+        self.known.entry(fingerprint).or_insert(Known {
+            state: PoisonState::Suspect,
+            crashes: 1,
+            expires_at: now + SUSPECT_LIFE,
+            marked_here_until: now + LOCAL_MARK_LIFE,
+        });
+    }
+
+    /// Replaces the list by that of the leader, which was received at `now`. The caller checks the
+    /// epoch ([`crate::VerdictView::apply`]). Marks made here remain for five seconds, since the
+    /// list may have been made before the leader knew of the crash.
+    pub fn replace(&mut self, entries: &[QuarantineEntry], now: Duration) {
+        self.known.retain(|_, known| now < known.marked_here_until);
+        for entry in entries.iter().take(MAX_ENTRIES) {
+            let known = Known {
+                state: entry.state,
+                crashes: entry.crashes,
+                expires_at: now + Duration::from_millis(entry.remaining_ms),
+                marked_here_until: Duration::ZERO,
+            };
+            self.known.insert(entry.fingerprint, known);
+        }
+    }
+
+    /// Entries in force, to report to a new leader.
+    #[must_use]
+    pub fn entries(&self, now: Duration) -> Vec<QuarantineEntry> {
+        let in_force = self
+            .known
+            .iter()
+            .filter(|(_, known)| now < known.expires_at);
+        in_force
+            .map(|(fingerprint, known)| QuarantineEntry {
+                fingerprint: *fingerprint,
+                state: known.state,
+                crashes: known.crashes,
+                remaining_ms: whole_ms(known.expires_at.saturating_sub(now)),
+            })
+            .collect()
+    }
+
+    fn make_room(&mut self, now: Duration) {
+        if self.known.len() < MAX_ENTRIES {
+            return;
+        }
+        self.known.retain(|_, known| now < known.expires_at);
+        while self.known.len() >= MAX_ENTRIES {
+            let first = self
+                .known
+                .iter()
+                .min_by_key(|(fingerprint, known)| (known.state, known.expires_at, **fingerprint));
+            let Some(oldest) = first.map(|(fingerprint, _)| *fingerprint) else {
+                return;
+            };
+            self.known.remove(&oldest);
+        }
+    }
+}
+
+/// A crash of a backend server with the requests that it had in flight at this instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Crash {
+    /// The backend server.
+    pub server: ServerKey,
+    /// Incarnation that crashed.
+    pub incarnation: Incarnation,
+    /// Requests lost, each with the ticket under which it ran.
+    pub requests: Vec<(Fingerprint, Option<TicketId>)>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Lost {
+    server: ServerKey,
+    incarnation: Incarnation,
+    fingerprint: Fingerprint,
+    ticket: Option<TicketId>,
+    at: Duration,
+}
+
+/// Tells a crash from a lost connection: a crash is a connection lost with the request in flight,
+/// followed by a refused connection or a new incarnation within [`CRASH_WINDOW`].
+#[derive(Debug, Default)]
+pub struct CrashWatch {
+    lost: VecDeque<Lost>,
+}
+
+impl CrashWatch {
+    /// Watch without lost requests.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records a request whose connection was lost. At most [`MAX_LOST`] are remembered; the
+    /// oldest is dropped first.
+    pub fn lost(
+        &mut self,
+        server: ServerKey,
+        incarnation: Incarnation,
+        fingerprint: Fingerprint,
+        ticket: Option<TicketId>,
+        now: Duration,
+    ) {
+        self.expire(now);
+        if self.lost.len() == MAX_LOST {
+            self.lost.pop_front();
+        }
+        self.lost.push_back(Lost {
+            server,
+            incarnation,
+            fingerprint,
+            ticket,
+            at: now,
+        });
+    }
+
+    /// The server refused a connection. Returns the crash that this confirms.
+    pub fn refused(&mut self, server: ServerKey, now: Duration) -> Option<Crash> {
+        self.confirm(now, |lost| lost.server == server)
+    }
+
+    /// The server announced an incarnation. Returns the crash that this confirms.
+    pub fn announced(
+        &mut self,
+        server: ServerKey,
+        incarnation: Incarnation,
+        now: Duration,
+    ) -> Option<Crash> {
+        let older = |lost: &Lost| lost.server == server && lost.incarnation < incarnation;
+        self.confirm(now, older)
+    }
+
+    fn confirm(&mut self, now: Duration, crashed: impl Fn(&Lost) -> bool) -> Option<Crash> {
+        self.expire(now);
+        let first = self.lost.iter().find(|lost| crashed(lost))?;
+        let (server, incarnation) = (first.server, first.incarnation);
+        let requests = self.lost.iter().filter(|lost| crashed(lost));
+        let requests = requests
+            .map(|lost| (lost.fingerprint, lost.ticket))
+            .collect();
+        self.lost.retain(|lost| !crashed(lost));
+        Some(Crash {
+            server,
+            incarnation,
+            requests,
+        })
+    }
+
+    fn expire(&mut self, now: Duration) {
+        while let Some(first) = self.lost.front() {
+            if now < first.at + CRASH_WINDOW {
+                return;
+            }
+            self.lost.pop_front();
+        }
+    }
+}
+
+pub(crate) fn whole_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
