--- /dev/null
+++ b/crates/policy/src/hedge.rs
@@ -0,0 +1,331 @@
+//! When to send a second copy of an idempotent request to another backend server.
+//!
+//! The delay is a high quantile of the service time of the request's class (The Tail at Scale,
+//! 2013). A tail that load has made is left alone: copies would lengthen it.
+
+use std::time::Duration;
+
+use radishpaddle_model::BackendServerId;
+
+use crate::budget::{NoRepeat, RepeatBudget};
+
+/// Quantile of the service time after which a request is hedged.
+pub const HEDGE_QUANTILE: f64 = 0.95;
+
+/// Shortest hedge delay as a multiple of the median. Guards against hedging half of the requests
+/// of a class whose service time has almost no spread.
+pub const MIN_MEDIAN_MULTIPLE: f64 = 2.0;
+
+/// Longest hedge delay as a multiple of the median. When one of six servers is slow it makes the
+/// 95 % quantile itself, and a delay of that length would hedge nothing.
+pub const MAX_MEDIAN_MULTIPLE: f64 = 4.0;
+
+/// Part of the slots in use above which a tail is attributed to load.
+pub const MAX_UTILISATION: f64 = 0.8;
+
+/// Growth of the median over its long-term value above which a tail is attributed to load.
+pub const MAX_MEDIAN_SHIFT: f64 = 1.5;
+
+/// Answers that a class needs before it is hedged.
+pub const MIN_SAMPLES: u64 = 50;
+
+/// Length of one window of service times; the estimate covers one to two windows.
+pub const WINDOW: Duration = Duration::from_secs(10);
+
+/// Weight of a finished window in the long-term median. With windows of 10 s the median of the
+/// last few minutes dominates.
+const BASELINE_WEIGHT: f64 = 0.1;
+
+/// Buckets per doubling of the service time; the error of a quantile is at most 9 %.
+const BUCKETS_PER_DOUBLING: f64 = 8.0;
+
+/// Buckets from 1 us up to 2^30 us, about 18 minutes; the longest route timeout is 10 minutes.
+const BUCKETS: usize = 240;
+
+/// Why a request is not hedged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum NoHedge {
+    /// The request may not run more than once.
+    NotIdempotent,
+    /// The class has too few answers to know its quantile.
+    TooFewSamples,
+    /// The hedge delay has not passed.
+    TooEarly,
+    /// The slots in use, or a median that grew for the whole class, explain the tail.
+    LoadMadeTail,
+    /// The time left is shorter than the median service time.
+    DeadlineTooShort,
+    /// No other backend server has a free slot.
+    NoOtherServer,
+    /// Number of attempts or budget is used up.
+    Budget(NoRepeat),
+}
+
+/// A request in flight, as the hedge decision sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HedgeQuery {
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+    /// Time since the first attempt was dispatched.
+    pub elapsed: Duration,
+    /// Time left until the deadline of the request.
+    pub remaining: Duration,
+    /// Attempts made so far.
+    pub attempts: u32,
+    /// Requests in flight at the servers in rotation, over the fleet.
+    pub in_flight: u32,
+    /// Slots of the servers in rotation.
+    pub slots: u32,
+    /// Whether a server other than those tried has a free slot.
+    pub other_server_free: bool,
+}
+
+/// Service times of one class of requests at one entry instance, and the hedge rule for it.
+#[derive(Debug, Clone)]
+pub struct HedgeClass {
+    current: Histogram,
+    previous: Histogram,
+    window_start: Duration,
+    baseline_median_us: Option<f64>,
+}
+
+impl HedgeClass {
+    /// A class without samples. `now` is the time since the caller's arbitrary start.
+    #[must_use]
+    pub fn new(now: Duration) -> Self {
+        Self {
+            current: Histogram::default(),
+            previous: Histogram::default(),
+            window_start: now,
+            baseline_median_us: None,
+        }
+    }
+
+    /// Counts the service time of a successful attempt. Cancelled attempts are not counted.
+    pub fn record(&mut self, now: Duration, service_time: Duration) {
+        self.rotate(now);
+        self.current.add(service_time);
+    }
+
+    /// Time after the dispatch at which a request is considered for a hedge; `None` while there
+    /// are too few samples.
+    #[must_use]
+    pub fn delay(&self) -> Option<Duration> {
+        let median = self.quantile_us(0.5)?;
+        let tail = self.quantile_us(HEDGE_QUANTILE)?;
+        let delay = tail.clamp(median * MIN_MEDIAN_MULTIPLE, median * MAX_MEDIAN_MULTIPLE);
+        Some(Duration::from_secs_f64(delay / 1e6))
+    }
+
+    /// Median service time; `None` while there are too few samples.
+    #[must_use]
+    pub fn median(&self) -> Option<Duration> {
+        let median = self.quantile_us(0.5)?;
+        Some(Duration::from_secs_f64(median / 1e6))
+    }
+
+    /// Permits a hedge and takes its token from the budget.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first rule that forbids the hedge; no token is taken then.
+    pub fn try_hedge(
+        &self,
+        now: Duration,
+        query: &HedgeQuery,
+        budget: &mut RepeatBudget,
+    ) -> Result<(), NoHedge> {
+        if !query.idempotent {
+            return Err(NoHedge::NotIdempotent);
+        }
+        let (Some(delay), Some(median)) = (self.delay(), self.median()) else {
+            return Err(NoHedge::TooFewSamples);
+        };
+        if query.elapsed < delay {
+            return Err(NoHedge::TooEarly);
+        }
+        if query.remaining < median {
+            return Err(NoHedge::DeadlineTooShort);
+        }
+        if self.load_made_tail(query, median) {
+            return Err(NoHedge::LoadMadeTail);
+        }
+        if !query.other_server_free {
+            return Err(NoHedge::NoOtherServer);
+        }
+        budget
+            .try_hedge(now, query.attempts)
+            .map_err(NoHedge::Budget)
+    }
+
+    fn load_made_tail(&self, query: &HedgeQuery, median: Duration) -> bool {
+        let used = f64::from(query.in_flight);
+        if used > f64::from(query.slots) * MAX_UTILISATION {
+            return true;
+        }
+        self.baseline_median_us
+            .is_some_and(|baseline| median.as_secs_f64() * 1e6 > baseline * MAX_MEDIAN_SHIFT)
+    }
+
+    fn quantile_us(&self, quantile: f64) -> Option<f64> {
+        let total = self.current.count + self.previous.count;
+        if total < MIN_SAMPLES {
+            return None;
+        }
+        Some(quantile_of(&self.previous, &self.current, quantile))
+    }
+
+    fn rotate(&mut self, now: Duration) {
+        let age = now.saturating_sub(self.window_start);
+        if age < WINDOW {
+            return;
+        }
+        if self.current.count >= MIN_SAMPLES {
+            let median = quantile_of(&self.current, &Histogram::default(), 0.5);
+            let baseline = self.baseline_median_us.unwrap_or(median);
+            self.baseline_median_us = Some(baseline + (median - baseline) * BASELINE_WEIGHT);
+        }
+        let finished = std::mem::take(&mut self.current);
+        self.previous = if age < WINDOW * 2 {
+            finished
+        } else {
+            Histogram::default()
+        };
+        self.window_start = now;
+    }
+}
+
+/// Counts of service times in buckets of equal ratio.
+#[derive(Debug, Clone)]
+struct Histogram {
+    counts: Box<[u32; BUCKETS]>,
+    count: u64,
+}
+
+impl Default for Histogram {
+    fn default() -> Self {
+        Self {
+            counts: Box::new([0; BUCKETS]),
+            count: 0,
+        }
+    }
+}
+
+impl Histogram {
+    fn add(&mut self, service_time: Duration) {
+        let index = bucket_of(service_time);
+        self.counts[index] = self.counts[index].saturating_add(1);
+        self.count += 1;
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value is between 0 and the number of buckets"
+)]
+fn bucket_of(service_time: Duration) -> usize {
+    let micros = (service_time.as_secs_f64() * 1e6).max(1.0);
+    let index = (micros.log2() * BUCKETS_PER_DOUBLING) as usize;
+    index.min(BUCKETS - 1)
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "window counts and bucket numbers are far below 2^52"
+)]
+fn quantile_of(first: &Histogram, second: &Histogram, quantile: f64) -> f64 {
+    let rank = (first.count + second.count) as f64 * quantile;
+    let mut seen = 0.0;
+    for index in 0..BUCKETS {
+        seen += f64::from(first.counts[index]) + f64::from(second.counts[index]);
+        if seen >= rank && seen > 0.0 {
+            return ((index as f64 + 0.5) / BUCKETS_PER_DOUBLING).exp2();
+        }
+    }
+    (BUCKETS as f64 / BUCKETS_PER_DOUBLING).exp2()
+}
+
+/// One copy of a hedged request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RaceCopy {
+    /// The first attempt.
+    First,
+    /// The hedge.
+    Hedge,
+}
+
+/// What to do after an event of a hedged request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RaceStep {
+    /// Give the answer of this copy to the caller and cancel the other copy at this server.
+    Answer {
+        /// Server of the losing copy, when it is still in flight.
+        cancel: Option<BackendServerId>,
+    },
+    /// The other copy is still in flight; wait for it.
+    Wait,
+    /// Both copies have failed.
+    Failed,
+    /// The race was decided before; drop the event.
+    Ignore,
+}
+
+/// A request with two copies in flight; the first complete answer wins.
+#[derive(Debug, Clone)]
+pub struct HedgeRace {
+    first: Option<BackendServerId>,
+    hedge: Option<BackendServerId>,
+    decided: bool,
+}
+
+/// Both copies were meant for the same backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SameServer;
+
+impl HedgeRace {
+    /// A race between two servers.
+    ///
+    /// # Errors
+    ///
+    /// Returns `SameServer` when both copies name one server: a slow server would slow both.
+    pub fn new(first: BackendServerId, hedge: BackendServerId) -> Result<Self, SameServer> {
+        if first == hedge {
+            return Err(SameServer);
+        }
+        Ok(Self {
+            first: Some(first),
+            hedge: Some(hedge),
+            decided: false,
+        })
+    }
+
+    /// A copy has a complete answer.
+    pub fn answered(&mut self, copy: RaceCopy) -> RaceStep {
+        if self.decided || self.take(copy).is_none() {
+            return RaceStep::Ignore;
+        }
+        self.decided = true;
+        let cancel = self.first.take().or(self.hedge.take());
+        RaceStep::Answer { cancel }
+    }
+
+    /// A copy has failed.
+    pub fn failed(&mut self, copy: RaceCopy) -> RaceStep {
+        if self.decided || self.take(copy).is_none() {
+            return RaceStep::Ignore;
+        }
+        if self.first.is_some() || self.hedge.is_some() {
+            return RaceStep::Wait;
+        }
+        self.decided = true;
+        RaceStep::Failed
+    }
+
+    fn take(&mut self, copy: RaceCopy) -> Option<BackendServerId> {
+        match copy {
+            RaceCopy::First => self.first.take(),
+            RaceCopy::Hedge => self.hedge.take(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/hedge.rs
@@ -0,0 +1,200 @@
+//! Hedges come late enough, never under load, and never run a request at one server twice.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use radishpaddle_model::BackendServerId;
+use radishpaddle_model::document::RetryPolicy;
+use radishpaddle_policy::budget::{NoRepeat, RepeatBudget};
+use radishpaddle_policy::hedge::{
+    HedgeClass, HedgeQuery, HedgeRace, NoHedge, RaceCopy, RaceStep, SameServer, WINDOW,
+};
+
+fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+fn server(name: &str) -> BackendServerId {
+    name.parse().unwrap()
+}
+
+fn class(service_times_ms: impl IntoIterator<Item = u64>) -> HedgeClass {
+    let mut class = HedgeClass::new(ms(0));
+    for time_ms in service_times_ms {
+        class.record(ms(0), ms(time_ms));
+    }
+    class
+}
+
+fn budget() -> RepeatBudget {
+    RepeatBudget::new(&RetryPolicy::default(), ms(0))
+}
+
+fn query() -> HedgeQuery {
+    HedgeQuery {
+        idempotent: true,
+        elapsed: ms(1000),
+        remaining: ms(1000),
+        attempts: 1,
+        in_flight: 5,
+        slots: 18,
+        other_server_free: true,
+    }
+}
+
+/// Guards against a hedge delay that follows the tail of one slow server out of six, which would
+/// hedge nothing.
+#[test]
+fn delay_is_bounded_by_the_median() {
+    let slow_sixth = class((0..600).map(|index| if index % 6 == 0 { 500 } else { 50 }));
+
+    let delay = slow_sixth.delay().unwrap();
+
+    assert!(delay > ms(90) && delay < ms(230), "{delay:?}");
+}
+
+/// Guards against hedges that break one of the rules; each query breaks exactly one.
+#[test]
+fn each_rule_forbids_the_hedge() {
+    let class = class((0..100).map(|index| 40 + index % 20));
+    let cases = [
+        (
+            HedgeQuery {
+                idempotent: false,
+                ..query()
+            },
+            NoHedge::NotIdempotent,
+        ),
+        (
+            HedgeQuery {
+                elapsed: ms(60),
+                ..query()
+            },
+            NoHedge::TooEarly,
+        ),
+        (
+            HedgeQuery {
+                remaining: ms(10),
+                ..query()
+            },
+            NoHedge::DeadlineTooShort,
+        ),
+        (
+            HedgeQuery {
+                in_flight: 17,
+                ..query()
+            },
+            NoHedge::LoadMadeTail,
+        ),
+        (
+            HedgeQuery {
+                other_server_free: false,
+                ..query()
+            },
+            NoHedge::NoOtherServer,
+        ),
+        (
+            HedgeQuery {
+                attempts: 3,
+                ..query()
+            },
+            NoHedge::Budget(NoRepeat::AttemptsExhausted),
+        ),
+    ];
+
+    for (query, expected) in cases {
+        let result = class.try_hedge(ms(1), &query, &mut budget());
+
+        assert_eq!(result, Err(expected), "{query:?}");
+    }
+    assert_eq!(class.try_hedge(ms(1), &query(), &mut budget()), Ok(()));
+}
+
+/// Guards against hedges after a restart, when the quantile is a guess.
+#[test]
+fn few_samples_permit_no_hedge() {
+    let class = class([50; 10]);
+
+    let result = class.try_hedge(ms(1), &query(), &mut budget());
+
+    assert_eq!(result, Err(NoHedge::TooFewSamples));
+}
+
+/// Guards against copies that lengthen a tail that load has made: the median of the whole class
+/// has doubled although the slots in use look moderate.
+#[test]
+fn shifted_median_permits_no_hedge() {
+    let mut class = HedgeClass::new(ms(0));
+    let mut now = ms(0);
+    for (windows, time_ms) in [(5, 50), (2, 110)] {
+        for _ in 0..windows {
+            (0..100).for_each(|_| class.record(now, ms(time_ms)));
+            now += WINDOW;
+        }
+    }
+
+    let result = class.try_hedge(now, &query(), &mut budget());
+
+    assert_eq!(result, Err(NoHedge::LoadMadeTail));
+}
+
+/// Guards against a hedge at the server that is slow already.
+#[test]
+fn race_needs_two_servers() {
+    assert_eq!(
+        HedgeRace::new(server("a"), server("a")).err(),
+        Some(SameServer)
+    );
+}
+
+/// Guards against a loser that keeps its slot, and against a failure of one copy that ends the
+/// request while the other copy may still answer.
+#[test]
+fn first_complete_answer_cancels_the_other_copy() {
+    let mut won = HedgeRace::new(server("a"), server("b")).unwrap();
+    let mut rescued = won.clone();
+    let mut lost = won.clone();
+
+    assert_eq!(
+        won.answered(RaceCopy::Hedge),
+        RaceStep::Answer {
+            cancel: Some(server("a"))
+        }
+    );
+    assert_eq!(won.failed(RaceCopy::First), RaceStep::Ignore);
+    assert_eq!(rescued.failed(RaceCopy::First), RaceStep::Wait);
+    assert_eq!(
+        rescued.answered(RaceCopy::Hedge),
+        RaceStep::Answer { cancel: None }
+    );
+    assert_eq!(lost.failed(RaceCopy::Hedge), RaceStep::Wait);
+    assert_eq!(lost.failed(RaceCopy::First), RaceStep::Failed);
+}
+
+proptest! {
+    /// Guards against a race with two answers, whatever the order and repetition of its events.
+    #[test]
+    fn race_has_at_most_one_result(events in proptest::collection::vec((any::<bool>(), any::<bool>()), 0..8)) {
+        let mut race = HedgeRace::new(server("a"), server("b")).unwrap();
+
+        let results = events.iter().map(|&(hedge, answered)| {
+            let copy = if hedge { RaceCopy::Hedge } else { RaceCopy::First };
+            if answered { race.answered(copy) } else { race.failed(copy) }
+        });
+
+        let decided = results.filter(|step| !matches!(step, RaceStep::Wait | RaceStep::Ignore));
+        prop_assert!(decided.count() <= 1);
+    }
+
+    /// Guards against a delay below the 95 % quantile, within the bucket error, when the spread is
+    /// moderate: at most one request in twenty is hedged.
+    #[test]
+    fn few_requests_outlast_the_delay(times in proptest::collection::vec(30..90_u64, 100..400)) {
+        let class = class(times.iter().copied());
+
+        let delay = class.delay().unwrap();
+
+        let later = times.iter().filter(|&&time| ms(time) > delay.mul_f64(1.1)).count();
+        prop_assert!(later * 20 <= times.len(), "{} of {}", later, times.len());
+    }
+}
