--- /dev/null
+++ b/crates/quorum/src/lease.rs
@@ -0,0 +1,453 @@
+//! Election of the witness leader by a quorum lease (design sections 3 and 5).
+//!
+//! The holder counts its lease from the time at which it sent the request, a granter counts from the time of the grant,
+//! and grants last longer by more than the difference of two clock rates. Two holders at the same time would need a
+//! granter that promised both.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use radishpaddle_model::{Incarnation, InstanceId};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::group::{Epoch, Generation, RESTART_HOLD, WitnessGroup, reached_by};
+
+/// Time for which a holder may act after it sent a request that a majority granted.
+pub const LEASE: Duration = Duration::from_millis(1500);
+
+/// Time for which a granter grants nobody else; more than [`LEASE`] by 6 %, clock rates differ by at most 2 %.
+pub const GRANT: Duration = Duration::from_millis(1590);
+
+/// Time between two requests of the holder.
+pub const RENEWAL_PERIOD: Duration = Duration::from_millis(300);
+
+/// Age of the last majority at which the holder stops renewing. A holder that cannot hear must not keep the granters
+/// bound; together with [`GRANT`] this keeps the time without a leader under 3 s.
+pub const RENEWAL_LIMIT: Duration = Duration::from_secs(1);
+
+/// Time after which an unanswered probe or campaign is given up.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Longest random delay before a probe; spreads the candidates.
+const ELECTION_DELAY_MS: u64 = 250;
+
+/// Requests whose answers still count; covers [`LEASE`].
+const ROUNDS_KEPT: usize = 8;
+
+/// Why a lease request is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LeaseKind {
+    /// Asks whether a campaign would be granted; binds nobody.
+    Probe,
+    /// Asks for a grant.
+    Campaign,
+    /// Asks for a longer grant; the sender holds the lease.
+    Renewal,
+}
+
+/// Request from one witness to another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRequest {
+    /// Generation of the sender.
+    pub generation: Generation,
+    /// Sender.
+    pub candidate: InstanceId,
+    /// Life of the sender.
+    pub incarnation: Incarnation,
+    /// Epoch asked for; ignored in a probe.
+    pub epoch: Epoch,
+    /// Number of the request, to be repeated in the answer.
+    pub number: u64,
+    /// Why it is sent.
+    pub kind: LeaseKind,
+}
+
+/// Answer to a [`LeaseRequest`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseReply {
+    /// Generation of the granter.
+    pub generation: Generation,
+    /// Granter.
+    pub witness: InstanceId,
+    /// Receiver of the answer.
+    pub candidate: InstanceId,
+    /// Life of the receiver.
+    pub incarnation: Incarnation,
+    /// Number of the request.
+    pub number: u64,
+    /// Whether the request is granted.
+    pub granted: bool,
+    /// Highest epoch that the granter has granted.
+    pub highest_epoch: Epoch,
+}
+
+/// Holder of the lease as a witness knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Leader {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Epoch of its lease.
+    pub epoch: Epoch,
+}
+
+/// What a witness has granted last; part of the copy for a recovering witness.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Promise {
+    /// Granted epoch.
+    pub epoch: Epoch,
+    /// Receiver of the grant.
+    pub candidate: InstanceId,
+    /// Life of the receiver.
+    pub incarnation: Incarnation,
+}
+
+/// One witness as granter, candidate and holder.
+#[derive(Debug, Clone)]
+pub struct LeaseMember {
+    id: InstanceId,
+    incarnation: Incarnation,
+    group: WitnessGroup,
+    grants_from: Duration,
+    granted: Option<Granted>,
+    role: Role,
+    next_at: Option<Duration>,
+    rounds: VecDeque<Round>,
+    next_number: u64,
+    highest_epoch: Epoch,
+}
+
+#[derive(Debug, Clone)]
+struct Granted {
+    promise: Promise,
+    until: Duration,
+    holds: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Round {
+    number: u64,
+    sent_at: Duration,
+    kind: LeaseKind,
+    epoch: Epoch,
+}
+
+/// Grants by witness: when the request was sent and for which epoch.
+type Grants = BTreeMap<InstanceId, (Duration, Epoch)>;
+
+#[derive(Debug, Clone)]
+enum Role {
+    Follower,
+    Probing(Grants),
+    Candidate(Grants),
+    Holder {
+        epoch: Epoch,
+        wanted: Epoch,
+        grants: Grants,
+    },
+}
+
+impl LeaseMember {
+    /// Member that has just started and remembers no grant. It grants nothing before [`RESTART_HOLD`] has passed.
+    #[must_use]
+    pub fn new(
+        id: InstanceId,
+        incarnation: Incarnation,
+        group: WitnessGroup,
+        now: Duration,
+    ) -> Self {
+        let highest_epoch = Epoch::floor(group.generation);
+        Self {
+            id,
+            incarnation,
+            group,
+            grants_from: now + RESTART_HOLD,
+            granted: None,
+            role: Role::Follower,
+            next_at: None,
+            rounds: VecDeque::new(),
+            next_number: 0,
+            highest_epoch,
+        }
+    }
+
+    /// Continues with the last grant that a majority of other witnesses remembers.
+    pub fn adopt(&mut self, now: Duration, promise: Promise) {
+        if promise.epoch > self.highest_epoch {
+            self.highest_epoch = promise.epoch;
+            self.granted = Some(Granted {
+                promise,
+                until: now + GRANT,
+                holds: false,
+            });
+        }
+    }
+
+    /// Last grant, for a recovering witness.
+    #[must_use]
+    pub fn promise(&self) -> Option<&Promise> {
+        self.granted.as_ref().map(|granted| &granted.promise)
+    }
+
+    /// Epoch of the lease if this witness holds it at the local time `now`.
+    #[must_use]
+    pub fn leadership(&self, now: Duration) -> Option<Epoch> {
+        match &self.role {
+            Role::Holder { epoch, grants, .. } => {
+                let base = self.majority_sent_at(grants)?;
+                (now < base + LEASE).then_some(*epoch)
+            }
+            _ => None,
+        }
+    }
+
+    /// Holder that this witness knows; the holder may have changed meanwhile.
+    #[must_use]
+    pub fn known_leader(&self, now: Duration) -> Option<Leader> {
+        let granted = self.granted.as_ref()?;
+        (granted.holds && now < granted.until).then(|| Leader {
+            instance: granted.promise.candidate.clone(),
+            epoch: granted.promise.epoch,
+        })
+    }
+
+    /// Next requests to send. Call it at least every 50 ms.
+    pub fn tick(&mut self, now: Duration, rng: &mut impl Rng) -> Vec<(InstanceId, LeaseRequest)> {
+        if matches!(self.role, Role::Holder { .. }) && self.leadership(now).is_none() {
+            self.role = Role::Follower;
+            self.next_at = None;
+        }
+        if self.next_at.is_some_and(|at| now < at) {
+            return Vec::new();
+        }
+        match &self.role {
+            Role::Follower => self.start_probe(now, rng),
+            Role::Probing(_) | Role::Candidate(_) => {
+                self.role = Role::Follower;
+                self.next_at = Some(now + election_delay(rng));
+                Vec::new()
+            }
+            Role::Holder { wanted, grants, .. } => {
+                let (epoch, base) = (*wanted, self.majority_sent_at(grants));
+                if base.is_none_or(|base| now > base + RENEWAL_LIMIT) {
+                    return Vec::new();
+                }
+                self.next_at = Some(now + RENEWAL_PERIOD);
+                self.send_round(now, LeaseKind::Renewal, epoch)
+            }
+        }
+    }
+
+    /// Answer to a request of another witness; `None` when it is not for this generation or comes too early.
+    pub fn on_request(&mut self, now: Duration, request: &LeaseRequest) -> Option<LeaseReply> {
+        let admitted = self.group.admits(request.generation, &request.candidate);
+        if !admitted || now < self.grants_from {
+            return None;
+        }
+        let granted = match request.kind {
+            LeaseKind::Probe => self.is_free_for(now, request),
+            LeaseKind::Campaign | LeaseKind::Renewal => self.grant(now, request),
+        };
+        Some(LeaseReply {
+            generation: self.group.generation,
+            witness: self.id.clone(),
+            candidate: request.candidate.clone(),
+            incarnation: request.incarnation,
+            number: request.number,
+            granted,
+            highest_epoch: self.highest_epoch,
+        })
+    }
+
+    /// Takes the answer of another witness. Returns requests that are to be sent at once.
+    pub fn on_reply(
+        &mut self,
+        now: Duration,
+        reply: &LeaseReply,
+    ) -> Vec<(InstanceId, LeaseRequest)> {
+        let own = reply.candidate == self.id && reply.incarnation == self.incarnation;
+        if !own || !self.group.admits(reply.generation, &reply.witness) {
+            return Vec::new();
+        }
+        let Some(round) = self
+            .rounds
+            .iter()
+            .find(|round| round.number == reply.number)
+        else {
+            return Vec::new();
+        };
+        let round = *round;
+        self.highest_epoch = self.highest_epoch.max(reply.highest_epoch);
+        if !reply.granted {
+            self.raise_epoch(&round, reply.highest_epoch);
+            return Vec::new();
+        }
+        self.count_grant(now, &round, reply)
+    }
+
+    fn start_probe(
+        &mut self,
+        now: Duration,
+        rng: &mut impl Rng,
+    ) -> Vec<(InstanceId, LeaseRequest)> {
+        let bound = self
+            .granted
+            .as_ref()
+            .is_some_and(|granted| now < granted.until);
+        if bound || now < self.grants_from {
+            self.next_at = None;
+            return Vec::new();
+        }
+        if self.next_at.is_none() {
+            self.next_at = Some(now + election_delay(rng));
+            return Vec::new();
+        }
+        self.rounds.clear();
+        self.role = Role::Probing(Grants::new());
+        self.next_at = Some(now + ATTEMPT_TIMEOUT);
+        self.send_round(now, LeaseKind::Probe, self.highest_epoch)
+    }
+
+    fn start_campaign(&mut self, now: Duration) -> Vec<(InstanceId, LeaseRequest)> {
+        self.rounds.clear();
+        self.role = Role::Candidate(Grants::new());
+        self.next_at = Some(now + ATTEMPT_TIMEOUT);
+        self.send_round(now, LeaseKind::Campaign, self.highest_epoch.next())
+    }
+
+    fn send_round(
+        &mut self,
+        now: Duration,
+        kind: LeaseKind,
+        epoch: Epoch,
+    ) -> Vec<(InstanceId, LeaseRequest)> {
+        self.next_number += 1;
+        self.rounds.push_back(Round {
+            number: self.next_number,
+            sent_at: now,
+            kind,
+            epoch,
+        });
+        if self.rounds.len() > ROUNDS_KEPT {
+            self.rounds.pop_front();
+        }
+        let request = LeaseRequest {
+            generation: self.group.generation,
+            candidate: self.id.clone(),
+            incarnation: self.incarnation,
+            epoch,
+            number: self.next_number,
+            kind,
+        };
+        let mut messages: Vec<_> = Vec::new();
+        for witness in self
+            .group
+            .witnesses
+            .iter()
+            .filter(|witness| **witness != self.id)
+        {
+            messages.push((witness.clone(), request.clone()));
+        }
+        if let Some(reply) = self.on_request(now, &request) {
+            messages.extend(self.on_reply(now, &reply));
+        }
+        messages
+    }
+
+    fn is_free_for(&self, now: Duration, request: &LeaseRequest) -> bool {
+        self.granted.as_ref().is_none_or(|granted| {
+            let same = granted.promise.candidate == request.candidate
+                && granted.promise.incarnation == request.incarnation;
+            same || now >= granted.until
+        })
+    }
+
+    fn grant(&mut self, now: Duration, request: &LeaseRequest) -> bool {
+        let repeated = self.promise().is_some_and(|promise| {
+            promise.epoch == request.epoch
+                && promise.candidate == request.candidate
+                && promise.incarnation == request.incarnation
+        });
+        let granted_epoch = self
+            .promise()
+            .map_or(Epoch::default(), |promise| promise.epoch);
+        let higher = request.epoch > granted_epoch && self.is_free_for(now, request);
+        if !repeated && !higher {
+            return false;
+        }
+        let promise = Promise {
+            epoch: request.epoch,
+            candidate: request.candidate.clone(),
+            incarnation: request.incarnation,
+        };
+        self.highest_epoch = self.highest_epoch.max(request.epoch);
+        self.granted = Some(Granted {
+            promise,
+            until: now + GRANT,
+            holds: request.kind == LeaseKind::Renewal,
+        });
+        true
+    }
+
+    fn count_grant(
+        &mut self,
+        now: Duration,
+        round: &Round,
+        reply: &LeaseReply,
+    ) -> Vec<(InstanceId, LeaseRequest)> {
+        let majority = self.group.majority();
+        let ((Role::Probing(grants), LeaseKind::Probe)
+        | (Role::Candidate(grants), LeaseKind::Campaign)
+        | (Role::Holder { grants, .. }, LeaseKind::Campaign | LeaseKind::Renewal)) =
+            (&mut self.role, round.kind)
+        else {
+            return Vec::new();
+        };
+        let grant = (round.sent_at, round.epoch);
+        let counted = grants.entry(reply.witness.clone()).or_insert(grant);
+        *counted = grant.max(*counted);
+        let complete = grants.len() >= majority;
+        let confirmed = reached_by(majority, grants.values().map(|(_, epoch)| *epoch));
+        match &mut self.role {
+            Role::Probing(_) if complete => self.start_campaign(now),
+            Role::Candidate(grants) if complete && now < round.sent_at + LEASE => {
+                let grants = std::mem::take(grants);
+                self.role = Role::Holder {
+                    epoch: round.epoch,
+                    wanted: round.epoch,
+                    grants,
+                };
+                self.next_at = Some(now + RENEWAL_PERIOD);
+                self.send_round(now, LeaseKind::Renewal, round.epoch)
+            }
+            Role::Holder { epoch, wanted, .. } if confirmed == Some(*wanted) => {
+                *epoch = *wanted;
+                Vec::new()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// A holder whose epoch a witness has left behind asks for a higher one, so that it gets that witness back. A split
+    /// election leaves such witnesses; without this the holder keeps a bare majority.
+    fn raise_epoch(&mut self, round: &Round, highest: Epoch) {
+        if let Role::Holder { wanted, .. } = &mut self.role
+            && round.kind == LeaseKind::Renewal
+            && highest >= *wanted
+        {
+            *wanted = highest.next();
+        }
+    }
+
+    fn majority_sent_at(&self, grants: &Grants) -> Option<Duration> {
+        reached_by(
+            self.group.majority(),
+            grants.values().map(|(sent_at, _)| *sent_at),
+        )
+    }
+}
+
+fn election_delay(rng: &mut impl Rng) -> Duration {
+    Duration::from_millis(rng.random_range(0..=ELECTION_DELAY_MS))
+}
