--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,10 @@
 //! Times never cross processes; messages carry remaining durations. Randomness is a generator
 //! passed by the caller.
 
+pub mod budget;
+pub mod fair_queue;
+pub mod hedge;
+
 pub mod balancer;
 pub mod evidence;
 pub mod floor;
