quorum: add the witness, its recovery and versioned tables

Cause: design section 3 gives the witness the revision register, the members, the announced backend servers and the claims, all in memory. Change: a witness merges the copies of a majority after a restart, starts a new generation on request of control, and hands out deltas of its tables.

--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -7,5 +7,7 @@
 pub mod freshness;
 pub mod group;
 pub mod lease;
+pub mod table;
+pub mod witness;
 
 pub use group::{Epoch, Generation, WitnessGroup};
