--- /dev/null
+++ b/crates/entry/src/service_task.rs
@@ -0,0 +1,625 @@
+//! The task that owns everything about one service on this instance: balancer, queue, budgets,
+//! evidence and idle connections.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use radishpaddle_kernel::Context;
+use radishpaddle_model::{OrganisationId, ResultCode, ServiceDocument};
+use radishpaddle_policy::balancer::subset_size;
+use radishpaddle_policy::budget::{FailedAttempt, RepeatBudget};
+use radishpaddle_policy::fair_queue::{FairQueue, QueueLimits, Refused, Waiting};
+use radishpaddle_policy::hedge::{HedgeClass, HedgeQuery};
+use radishpaddle_policy::{
+    Balancer, Cell, Completion, DispatchId, PathAvoidance, Pick, PickRequest, Recorder,
+    RequestClass, ServerKey, VerdictUpdate, VerdictView,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::backend_connection::BackendConnection;
+use crate::backend_info::BackendInfo;
+use crate::clock::Clock;
+
+/// Commands that wait for the task.
+const COMMAND_QUEUE: usize = 4096;
+
+/// Period at which queued requests are looked at without another event.
+const QUEUE_PERIOD: Duration = Duration::from_millis(5);
+
+/// Expected service time of a class that has no samples yet.
+const DEFAULT_SERVICE_TIME: Duration = Duration::from_millis(20);
+
+/// Connections that a backend server takes from the whole fleet.
+const CONNECTIONS_PER_SERVER: usize = 330;
+
+/// Connections that one instance keeps to one backend server at most.
+const CONNECTIONS_PER_PAIR: usize = 8;
+
+/// Request for a backend server.
+#[derive(Debug)]
+pub struct Acquire {
+    /// Organisation that the request is queued under.
+    pub organisation: OrganisationId,
+    /// Class of the request.
+    pub class: RequestClass,
+    /// Weight of the request kind.
+    pub weight: u32,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+    /// Local time by which the answer must be there.
+    pub deadline: Duration,
+    /// Servers that were tried before.
+    pub exclude: Vec<ServerKey>,
+    /// Whether this is the first attempt of the request.
+    pub first: bool,
+}
+
+/// A backend server for one attempt. Dropping it without [`Grant::finish`] counts as cancelled.
+#[derive(Debug)]
+pub struct Grant {
+    /// The server.
+    pub server: Arc<BackendInfo>,
+    /// An idle connection, if there is one.
+    pub connection: Option<BackendConnection>,
+    /// Time after which a hedge may be asked for.
+    pub hedge_after: Option<Duration>,
+    dispatch: DispatchId,
+    class: RequestClass,
+    commands: mpsc::Sender<Command>,
+    finished: bool,
+}
+
+/// End of an attempt.
+#[derive(Debug)]
+pub struct Finished {
+    dispatch: DispatchId,
+    class: RequestClass,
+    server: ServerKey,
+    completion: Completion,
+    connection: Option<BackendConnection>,
+}
+
+type AcquireReply = oneshot::Sender<Result<Grant, ResultCode>>;
+
+enum Command {
+    Configure(Arc<ServiceDocument>),
+    Servers(Vec<Arc<BackendInfo>>, usize),
+    Verdicts(VerdictUpdate, Duration),
+    OthersInFlight(Vec<(ServerKey, u32)>),
+    AvoidPath(ServerKey),
+    Acquire(Acquire, AcquireReply),
+    Hedge(Acquire, HedgeQuery, oneshot::Sender<Option<Grant>>),
+    Finished(Finished),
+    Retry(FailedAttempt, RequestClass, oneshot::Sender<bool>),
+    Drain(oneshot::Sender<Vec<Cell>>),
+    Status(oneshot::Sender<ServiceStatus>),
+}
+
+/// What an operator sees of a service on this instance.
+#[derive(Debug, Clone, serde::Serialize)]
+pub struct ServiceStatus {
+    /// Requests that wait for a backend server.
+    pub queued: usize,
+    /// Slots that this instance may use.
+    pub usable_slots: u32,
+    /// Backend servers with their requests in flight from here and their standing.
+    pub servers: Vec<ServerStatus>,
+}
+
+/// What an operator sees of a backend server on this instance.
+#[derive(Debug, Clone, serde::Serialize)]
+pub struct ServerStatus {
+    /// Name.
+    pub backend_server: String,
+    /// Address.
+    pub address: std::net::SocketAddr,
+    /// Announced state.
+    pub state: radishpaddle_model::BackendState,
+    /// Requests in flight from this instance.
+    pub in_flight: u32,
+    /// Standing by the verdicts in force.
+    pub standing: String,
+    /// Path state at this instance.
+    pub path: String,
+}
+
+/// Handle to the task of one service; the task ends when the last handle is dropped.
+#[derive(Debug, Clone)]
+pub struct ServiceHandle {
+    commands: mpsc::Sender<Command>,
+}
+
+impl Grant {
+    /// Reports how the attempt ended and gives the connection back if it can be used again.
+    pub async fn finish(mut self, completion: Completion, connection: Option<BackendConnection>) {
+        self.finished = true;
+        let finished = self.report(completion, connection);
+        let _ = self.commands.send(Command::Finished(finished)).await;
+    }
+
+    fn report(&self, completion: Completion, connection: Option<BackendConnection>) -> Finished {
+        Finished {
+            dispatch: self.dispatch,
+            class: self.class,
+            server: self.server.key,
+            completion,
+            connection,
+        }
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        if self.finished {
+            return;
+        }
+        let finished = Command::Finished(self.report(Completion::Cancelled, None));
+        if let Err(mpsc::error::TrySendError::Full(command)) = self.commands.try_send(finished) {
+            // A lost report would leave the request in flight for ever.
+            let commands = self.commands.clone();
+            if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+                runtime.spawn(async move {
+                    let _ = commands.send(command).await;
+                });
+            }
+        }
+    }
+}
+
+impl ServiceHandle {
+    /// Starts the task of a service.
+    #[must_use]
+    pub fn spawn(
+        document: Arc<ServiceDocument>,
+        context: &Context,
+        clock: Clock,
+        queue_length: usize,
+        idle_per_server: usize,
+    ) -> Self {
+        let (commands, receiver) = mpsc::channel(COMMAND_QUEUE);
+        let now = clock.now();
+        let limits = QueueLimits {
+            per_organisation: queue_length,
+            total: queue_length,
+        };
+        let task = ServiceTask {
+            clock,
+            balancer: Balancer::new(&context.instance, context.availability_zone.clone()),
+            verdicts: VerdictView::new(context.instance.clone()),
+            paths: PathAvoidance::new(),
+            recorder: Recorder::new(),
+            queue: FairQueue::new(limits),
+            budget: RepeatBudget::new(&document.retry, now),
+            classes: HashMap::new(),
+            servers: HashMap::new(),
+            idle: HashMap::new(),
+            idle_per_server,
+            others_in_flight: HashMap::new(),
+            own_in_flight: 0,
+            instances: 1,
+            rng: SmallRng::from_os_rng(),
+            commands: commands.downgrade(),
+            document,
+        };
+        tokio::spawn(task.run(receiver));
+        Self { commands }
+    }
+
+    /// Takes a changed document into force.
+    pub async fn configure(&self, document: Arc<ServiceDocument>) {
+        let _ = self.commands.send(Command::Configure(document)).await;
+    }
+
+    /// Replaces the backend servers; `instances` is the number of serving entry instances.
+    pub async fn set_servers(&self, servers: Vec<Arc<BackendInfo>>, instances: usize) {
+        let _ = self
+            .commands
+            .send(Command::Servers(servers, instances))
+            .await;
+    }
+
+    /// Applies the verdicts of the leader to a request that was sent at `requested_at`.
+    pub async fn apply_verdicts(&self, update: VerdictUpdate, requested_at: Duration) {
+        let command = Command::Verdicts(update, requested_at);
+        let _ = self.commands.send(command).await;
+    }
+
+    /// Sets the requests that other instances have in flight.
+    pub async fn set_others_in_flight(&self, counts: Vec<(ServerKey, u32)>) {
+        let _ = self.commands.send(Command::OthersInFlight(counts)).await;
+    }
+
+    /// Avoids a server whose path is broken only from here, on advice of the leader.
+    pub async fn avoid_path(&self, server: ServerKey) {
+        let _ = self.commands.send(Command::AvoidPath(server)).await;
+    }
+
+    /// Waits for a backend server.
+    ///
+    /// # Errors
+    ///
+    /// The result code says why there is none; the request was not run.
+    pub async fn acquire(&self, request: Acquire) -> Result<Grant, ResultCode> {
+        let (reply, answer) = oneshot::channel();
+        let command = Command::Acquire(request, reply);
+        if self.commands.send(command).await.is_err() {
+            return Err(ResultCode::NoRoute);
+        }
+        answer.await.unwrap_or(Err(ResultCode::NoRoute))
+    }
+
+    /// Asks for a second server for a request in flight.
+    pub async fn hedge(&self, request: Acquire, query: HedgeQuery) -> Option<Grant> {
+        let (reply, answer) = oneshot::channel();
+        let command = Command::Hedge(request, query, reply);
+        self.commands.send(command).await.ok()?;
+        answer.await.ok().flatten()
+    }
+
+    /// Asks whether a failed attempt may be followed by another one.
+    pub async fn may_retry(&self, failed: FailedAttempt, class: RequestClass) -> bool {
+        let (reply, answer) = oneshot::channel();
+        let command = Command::Retry(failed, class, reply);
+        self.commands.send(command).await.is_ok() && answer.await.unwrap_or(false)
+    }
+
+    /// Takes the evidence of the period.
+    pub async fn drain_evidence(&self) -> Vec<Cell> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.commands.send(Command::Drain(reply)).await;
+        answer.await.unwrap_or_default()
+    }
+
+    /// State for operators.
+    pub async fn status(&self) -> Option<ServiceStatus> {
+        let (reply, answer) = oneshot::channel();
+        self.commands.send(Command::Status(reply)).await.ok()?;
+        answer.await.ok()
+    }
+}
+
+struct ServiceTask {
+    clock: Clock,
+    document: Arc<ServiceDocument>,
+    balancer: Balancer,
+    verdicts: VerdictView,
+    paths: PathAvoidance,
+    recorder: Recorder,
+    queue: FairQueue<(Acquire, AcquireReply)>,
+    budget: RepeatBudget,
+    classes: HashMap<RequestClass, HedgeClass>,
+    servers: HashMap<ServerKey, Arc<BackendInfo>>,
+    idle: HashMap<ServerKey, Vec<BackendConnection>>,
+    idle_per_server: usize,
+    others_in_flight: HashMap<ServerKey, u32>,
+    own_in_flight: u32,
+    instances: usize,
+    rng: SmallRng,
+    commands: mpsc::WeakSender<Command>,
+}
+
+impl ServiceTask {
+    async fn run(mut self, mut commands: mpsc::Receiver<Command>) {
+        let mut ticks = tokio::time::interval(QUEUE_PERIOD);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                command = commands.recv() => match command {
+                    Some(command) => self.handle(command),
+                    None => return,
+                },
+                _ = ticks.tick(), if !self.queue.is_empty() => (),
+            }
+            self.serve_queue();
+        }
+    }
+
+    fn handle(&mut self, command: Command) {
+        let now = self.clock.now();
+        match command {
+            Command::Configure(document) => self.configure(document),
+            Command::Servers(servers, instances) => self.set_servers(servers, instances),
+            Command::Verdicts(update, requested_at) => {
+                self.verdicts.apply(update, requested_at);
+            }
+            Command::OthersInFlight(counts) => self.set_others(counts),
+            Command::AvoidPath(server) => self.paths.advise(server, now),
+            Command::Acquire(request, reply) => self.enqueue(request, reply, now),
+            Command::Hedge(request, query, reply) => {
+                let _ = reply.send(self.hedge(&request, query, now));
+            }
+            Command::Finished(finished) => self.finish(finished, now),
+            Command::Retry(failed, class, reply) => {
+                let failed = FailedAttempt {
+                    expected_service: self.expected_service(class),
+                    ..failed
+                };
+                let _ = reply.send(self.budget.try_retry(now, &failed).is_ok());
+            }
+            Command::Drain(reply) => {
+                let _ = reply.send(self.recorder.drain(now));
+            }
+            Command::Status(reply) => {
+                let _ = reply.send(self.status(now));
+            }
+        }
+    }
+
+    fn configure(&mut self, document: Arc<ServiceDocument>) {
+        self.budget.set_policy(&document.retry);
+        for limit in &document.organisations {
+            // A share is the rate in whole requests per second.
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "casts from f64 saturate and a rate is not negative"
+            )]
+            let share = limit.rate_per_s.as_f64().ceil() as u32;
+            self.queue
+                .set_share(limit.organisation.clone(), share.max(1));
+        }
+        self.document = document;
+        self.update_members();
+    }
+
+    fn set_servers(&mut self, servers: Vec<Arc<BackendInfo>>, instances: usize) {
+        self.instances = instances.max(1);
+        self.servers = servers
+            .into_iter()
+            .map(|server| (server.key, server))
+            .collect();
+        let known = &self.servers;
+        self.idle.retain(|server, _| known.contains_key(server));
+        self.update_members();
+    }
+
+    fn update_members(&mut self) {
+        let members: Vec<_> = self.servers.values().map(|server| server.member()).collect();
+        let subset = subset_size(
+            members.len(),
+            self.instances,
+            CONNECTIONS_PER_SERVER,
+            CONNECTIONS_PER_PAIR,
+        );
+        self.balancer
+            .set_members(&members, self.document.floor_percent, subset);
+        for (server, count) in &self.others_in_flight {
+            self.balancer.set_others_in_flight(*server, *count);
+        }
+    }
+
+    fn set_others(&mut self, counts: Vec<(ServerKey, u32)>) {
+        for server in self.others_in_flight.keys() {
+            self.balancer.set_others_in_flight(*server, 0);
+        }
+        self.others_in_flight = counts.into_iter().collect();
+        for (server, count) in &self.others_in_flight {
+            self.balancer.set_others_in_flight(*server, *count);
+        }
+    }
+
+    fn enqueue(&mut self, request: Acquire, reply: AcquireReply, now: Duration) {
+        if request.first {
+            self.budget.record_first_attempt(now);
+        }
+        if self.servers.is_empty() {
+            let _ = reply.send(Err(ResultCode::NoBackendServer));
+            return;
+        }
+        let waiting = Waiting {
+            organisation: request.organisation.clone(),
+            weight: request.weight,
+            deadline: request.deadline,
+            expected_service: self.expected_service(request.class),
+            payload: (request, reply),
+        };
+        match self.queue.push(now, waiting) {
+            Ok(queued) => {
+                if let Some(evicted) = queued.evicted {
+                    refuse(evicted);
+                }
+            }
+            Err(refused) => refuse(*refused),
+        }
+    }
+
+    /// Dispatches waiting requests while a server has a free slot, or while this instance uses less
+    /// than its share of the slots. The share keeps it going when its view of the load of others is
+    /// out of date.
+    fn serve_queue(&mut self) {
+        let now = self.clock.now();
+        let mut refused = Vec::new();
+        self.queue.expire(now, &mut refused);
+        while !self.queue.is_empty() && self.has_capacity(now) {
+            let Some(ready) = self.queue.pop(now, &mut refused) else {
+                break;
+            };
+            let (request, reply) = ready.request.payload;
+            if reply.is_closed() {
+                continue;
+            }
+            let grant = self.pick(&request, now).map_or_else(
+                || Err(ResultCode::NoBackendServer),
+                |pick| self.grant(&request, pick, now).ok_or(ResultCode::NoRoute),
+            );
+            let _ = reply.send(grant);
+        }
+        refused.into_iter().for_each(refuse);
+    }
+
+    fn has_capacity(&mut self, now: Duration) -> bool {
+        let request = PickRequest {
+            now,
+            may_trial: false,
+            exclude: &[],
+        };
+        let pick = self
+            .balancer
+            .pick(&request, &self.verdicts, &self.paths, &mut self.rng);
+        match pick {
+            Some(pick) if pick.over_slots => self.own_in_flight < self.own_share(),
+            // Without any usable server the waiting requests are refused.
+            _ => true,
+        }
+    }
+
+    fn own_share(&self) -> u32 {
+        let slots: u32 = self.servers.values().map(|server| server.slots).sum();
+        let instances = u32::try_from(self.instances).unwrap_or(u32::MAX);
+        slots.div_ceil(instances).max(1)
+    }
+
+    fn pick(&mut self, request: &Acquire, now: Duration) -> Option<Pick> {
+        let query = PickRequest {
+            now,
+            may_trial: request.idempotent,
+            exclude: &request.exclude,
+        };
+        let pick = self
+            .balancer
+            .pick(&query, &self.verdicts, &self.paths, &mut self.rng);
+        // A service with fewer servers than attempts tries one of them again.
+        pick.or_else(|| {
+            let again = PickRequest {
+                exclude: &[],
+                ..query
+            };
+            self.balancer
+                .pick(&again, &self.verdicts, &self.paths, &mut self.rng)
+        })
+    }
+
+    fn grant(&mut self, request: &Acquire, pick: Pick, now: Duration) -> Option<Grant> {
+        let server = Arc::clone(self.servers.get(&pick.server)?);
+        let commands = self.commands.upgrade()?;
+        let dispatch = self
+            .recorder
+            .dispatched(pick.server, request.class, pick.over_slots, now);
+        self.balancer.dispatched(pick.server);
+        self.own_in_flight += 1;
+        let class = self.classes.get(&request.class);
+        let hedged = request.idempotent && self.document.retry.hedge;
+        Some(Grant {
+            connection: self.idle_connection(pick.server, request.idempotent),
+            server,
+            hedge_after: class.filter(|_| hedged).and_then(HedgeClass::delay),
+            dispatch,
+            class: request.class,
+            commands,
+            finished: false,
+        })
+    }
+
+    /// The newest idle connection. An action only gets one that was used a moment ago: a server that
+    /// closes an idle connection while the action is sent would leave its outcome unknown.
+    fn idle_connection(
+        &mut self,
+        server: ServerKey,
+        idempotent: bool,
+    ) -> Option<BackendConnection> {
+        const IDLE_LIMIT: Duration = Duration::from_secs(10);
+        const IDLE_LIMIT_ACTION: Duration = Duration::from_millis(500);
+        let limit = if idempotent {
+            IDLE_LIMIT
+        } else {
+            IDLE_LIMIT_ACTION
+        };
+        let idle = self.idle.get_mut(&server)?;
+        idle.retain(|connection| connection.is_usable(IDLE_LIMIT));
+        idle.pop_if(|connection| connection.is_usable(limit))
+    }
+
+    fn hedge(&mut self, request: &Acquire, query: HedgeQuery, now: Duration) -> Option<Grant> {
+        let pick_request = PickRequest {
+            now,
+            may_trial: false,
+            exclude: &request.exclude,
+        };
+        let pick =
+            self.balancer
+                .pick(&pick_request, &self.verdicts, &self.paths, &mut self.rng)?;
+        let others: u32 = self.others_in_flight.values().sum();
+        let query = HedgeQuery {
+            in_flight: others + self.own_in_flight,
+            slots: self
+                .balancer
+                .usable_slots(&self.verdicts, &self.paths, now),
+            other_server_free: !pick.over_slots,
+            ..query
+        };
+        let class = self.classes.get(&request.class)?;
+        class.try_hedge(now, &query, &mut self.budget).ok()?;
+        self.grant(request, pick, now)
+    }
+
+    fn finish(&mut self, finished: Finished, now: Duration) {
+        let Some(recorded) =
+            self.recorder
+                .completed(finished.dispatch, finished.completion, now)
+        else {
+            return;
+        };
+        self.own_in_flight = self.own_in_flight.saturating_sub(1);
+        let good =
+            matches!(finished.completion, Completion::Answered { status } if status < 500);
+        let latency = good.then_some(recorded.elapsed);
+        self.balancer.completed(finished.server, latency);
+        self.paths
+            .observe(finished.server, finished.completion, now);
+        if let Some(latency) = latency {
+            let class = self.classes.entry(finished.class);
+            class
+                .or_insert_with(|| HedgeClass::new(now))
+                .record(now, latency);
+        }
+        if let Some(connection) = finished.connection {
+            self.keep(finished.server, connection);
+        }
+    }
+
+    fn keep(&mut self, server: ServerKey, connection: BackendConnection) {
+        let serving = self.servers.contains_key(&server);
+        let idle = self.idle.entry(server).or_default();
+        if serving && idle.len() < self.idle_per_server {
+            idle.push(connection);
+        }
+    }
+
+    fn expected_service(&self, class: RequestClass) -> Duration {
+        self.classes
+            .get(&class)
+            .and_then(HedgeClass::median)
+            .unwrap_or(DEFAULT_SERVICE_TIME)
+    }
+
+    fn status(&mut self, now: Duration) -> ServiceStatus {
+        let mut servers: Vec<_> = self
+            .servers
+            .values()
+            .map(|server| ServerStatus {
+                backend_server: server.backend_server.to_string(),
+                address: server.address,
+                state: server.state,
+                in_flight: self.recorder.in_flight(server.key),
+                standing: format!("{:?}", self.verdicts.standing(server.key, now)),
+                path: format!("{:?}", self.paths.state(server.key, now)),
+            })
+            .collect();
+        servers.sort_by(|left, right| left.backend_server.cmp(&right.backend_server));
+        ServiceStatus {
+            queued: self.queue.len(),
+            usable_slots: self
+                .balancer
+                .usable_slots(&self.verdicts, &self.paths, now),
+            servers,
+        }
+    }
+}
+
+fn refuse(refused: Refused<(Acquire, AcquireReply)>) {
+    let (_, reply) = refused.request.payload;
+    let _ = reply.send(Err(refused.code));
+}
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use futures_util::{SinkExt as _, StreamExt as _};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, timeout};
@@ -13,6 +15,7 @@
 use crate::codec::FrameCodec;
 use crate::error::WireError;
 use crate::message::{Frame, Hello, Request, Response, frame, request, response};
+use crate::payload::{decode, encode};
 use crate::tls::{PeerSecurity, PeerStream};
 
 /// Longest time for a connection including its TLS handshake.
@@ -67,6 +70,21 @@
         self.address
     }
 
+    /// Sends an encoded payload and decodes the payload of the response.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::call`], and `Malformed` or `UnexpectedResponse` for a wrong response.
+    pub async fn exchange<Q: Serialize + Sync, R: DeserializeOwned>(
+        &self,
+        wrap: fn(Vec<u8>) -> request::Kind,
+        payload: &Q,
+        limit: Duration,
+    ) -> Result<R, WireError> {
+        let response = self.call(wrap(encode(payload)?), limit).await?;
+        decode_response(response)
+    }
+
     /// Sends a request and waits for its response for `limit` at most.
     ///
     /// # Errors
@@ -90,6 +108,19 @@
     }
 }
 
+/// Decodes the payload of a response.
+///
+/// # Errors
+///
+/// `Refused` for a failure, `UnexpectedResponse` for another kind, `Malformed` for a wrong payload.
+pub fn decode_response<R: DeserializeOwned>(response: response::Kind) -> Result<R, WireError> {
+    match response {
+        response::Kind::Payload(bytes) => decode(&bytes),
+        response::Kind::Failure(failure) => Err(WireError::Refused(failure)),
+        _ => Err(WireError::UnexpectedResponse),
+    }
+}
+
 async fn run(address: SocketAddr, identity: ClientIdentity, mut calls: mpsc::Receiver<Call>) {
     while let Some(first) = calls.recv().await {
         if first.reply.is_closed() {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod codec;
 pub mod error;
+pub mod payload;
 pub mod server;
 pub mod tls;
 
@@ -21,8 +22,9 @@
     include!("generated.rs");
 }
 
-pub use client::PeerClient;
+pub use client::{ClientIdentity, PeerClient, decode_response};
 pub use codec::{FrameCodec, MAX_FRAME_BYTES};
 pub use error::WireError;
-pub use server::{PeerHandler, PeerIdentity, PeerServer};
+pub use payload::{PROTOCOL_VERSION, WitnessStatus, decode, encode};
+pub use server::{PeerHandler, PeerIdentity, PeerServer, ServerIdentity, failure};
 pub use tls::{PeerSecurity, TlsFiles};
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -186,10 +186,10 @@
     let Some(request::Kind::Hello(hello)) = request.kind else {
         return Err(WireError::Malformed("first request is not Hello".into()));
     };
-    if hello.fleet != own.fleet {
-        let refusal = failure(failure::Reason::WrongFleet, "peer belongs to another fleet");
+    if let Some((reason, message)) = mismatch(&hello, own) {
+        let refusal = failure(reason, message);
         connection.send(response_frame(frame.id, refusal)).await?;
-        return Err(WireError::Malformed("peer belongs to another fleet".into()));
+        return Err(WireError::Malformed(message.into()));
     }
     let reply = HelloReply {
         instance: own.instance.clone(),
@@ -204,6 +204,16 @@
     })
 }
 
+fn mismatch(peer: &Hello, own: &Hello) -> Option<(failure::Reason, &'static str)> {
+    if peer.fleet != own.fleet {
+        return Some((failure::Reason::WrongFleet, "peer belongs to another fleet"));
+    }
+    (peer.protocol_version != own.protocol_version).then_some((
+        failure::Reason::WrongVersion,
+        "peer speaks another version of the protocol",
+    ))
+}
+
 async fn answer<H: PeerHandler>(handler: &H, peer: PeerIdentity, frame: Frame) -> Frame {
     let kind = match frame.body {
         Some(frame::Body::Request(request)) => request.kind,
