--- /dev/null
+++ b/crates/consensus/src/repair.rs
@@ -0,0 +1,126 @@
+//! Membership changes, one member at a time, and the ones that the leader proposes by itself.
+
+use crate::entry::{Payload, ReplicaId};
+use crate::error::ProposeError;
+use crate::membership::{MAX_VOTERS, MemberRole, MembershipChange};
+use crate::progress::Flow;
+use crate::ready::Notice;
+use crate::replica::Replica;
+
+impl Replica {
+    /// Proposes a change of one member. It is in force for this leader at once and permanent when
+    /// the returned index is committed. Only one change may be uncommitted, and a new leader first
+    /// commits an entry of its term (the correction of 2015 to single-server changes in Raft).
+    ///
+    /// # Errors
+    ///
+    /// The replica does not lead, an earlier change is uncommitted, the learner has not caught up,
+    /// the change does not fit, or too few voters would remain reachable. A leader cannot remove itself; it transfers leadership first.
+    pub fn propose_membership(&mut self, change: &MembershipChange) -> Result<u64, ProposeError> {
+        self.check_leading()?;
+        if self.change_is_pending() {
+            return Err(ProposeError::ChangePending);
+        }
+        match change {
+            MembershipChange::Remove(id) if *id == self.id() => {
+                return Err(ProposeError::ChangeNotPossible);
+            }
+            MembershipChange::Promote(id) if !self.has_caught_up(*id) => {
+                return Err(ProposeError::NotCaughtUp(*id));
+            }
+            _ => {}
+        }
+        let next = self
+            .membership()
+            .after(change)
+            .ok_or(ProposeError::ChangeNotPossible)?;
+        if next == *self.membership() {
+            return Ok(self.membership_index());
+        }
+        let limit = self.config.election_ticks;
+        if !next.is_quorum(|id| self.is_heard(id, limit)) {
+            return Err(ProposeError::NoQuorumAfter);
+        }
+        Ok(self.append_own(Payload::Membership(next)))
+    }
+
+    fn change_is_pending(&self) -> bool {
+        self.commit < self.lead.first_index || self.membership_index() > self.commit
+    }
+
+    /// Whether a member answers and its disk holds the log up to a small lag.
+    #[must_use]
+    pub fn has_caught_up(&self, id: ReplicaId) -> bool {
+        let Some(progress) = self.lead.progress.get(&id) else {
+            return false;
+        };
+        let lag = self.config.caught_up_lag;
+        progress.flow == Flow::Replicate
+            && progress.silent_ticks < self.config.election_ticks
+            && progress.matched + lag >= self.log.last_index()
+            && progress.matched >= self.lead.first_index
+    }
+
+    /// Proposes at most one change: a caught-up learner replaces a voter that has been unreachable
+    /// for [`crate::Config::repair_after_ticks`].
+    ///
+    /// The learner is promoted before the lost voter is removed, so that the number of disks that
+    /// hold a committed entry does not shrink in between. With the largest voting set the lost
+    /// voter is removed first. Each step is proposed only if a quorum of the membership after it
+    /// answers and has caught up, so that a second loss cannot meet a set whose majority lacks
+    /// committed entries.
+    pub(crate) fn repair(&mut self) {
+        let transferring = self.lead.transfer.is_some();
+        if !self.config.automatic_repair || transferring || self.change_is_pending() {
+            return;
+        }
+        let Some(change) = self.next_repair() else {
+            return;
+        };
+        let next = self.membership().after(&change);
+        let safe = next.is_some_and(|next| next.is_quorum(|id| self.is_current(id)));
+        if safe && self.propose_membership(&change).is_ok() {
+            self.notices.push(Notice::RepairProposed(change));
+        }
+    }
+
+    fn is_current(&self, id: ReplicaId) -> bool {
+        id == self.id() || self.has_caught_up(id)
+    }
+
+    fn next_repair(&self) -> Option<MembershipChange> {
+        let voters = self.membership().voters().count();
+        let lost_voter = self.lost(MemberRole::Voter);
+        let needed = self.config.target_voters + usize::from(lost_voter.is_some());
+        let spare = || {
+            let mut learners = self.membership().learners();
+            learners.find(|id| self.has_caught_up(*id))
+        };
+        if voters < needed
+            && voters < MAX_VOTERS
+            && let Some(spare) = spare()
+        {
+            return Some(MembershipChange::Promote(spare));
+        }
+        let full = voters == MAX_VOTERS && spare().is_some();
+        if let Some(lost) = lost_voter
+            && (voters > self.config.target_voters || full)
+        {
+            return Some(MembershipChange::Remove(lost));
+        }
+        self.lost(MemberRole::Learner).map(MembershipChange::Remove)
+    }
+
+    /// The member with the role that has been unreachable for longest, if that is too long.
+    fn lost(&self, role: MemberRole) -> Option<ReplicaId> {
+        let silent = |id: &ReplicaId| {
+            let progress = self.lead.progress.get(id);
+            progress.map_or(0, |progress| progress.silent_ticks)
+        };
+        let membership = self.membership();
+        let ids = self.lead.progress.keys().copied();
+        ids.filter(|id| membership.role(*id) == Some(role))
+            .filter(|id| silent(id) >= self.config.repair_after_ticks)
+            .max_by_key(silent)
+    }
+}
