Add the parts of the entry process

Cause: the request path needs its listener, service tasks, claims and the kernel plug-ins. Change: callers, announcements, polls, claims and status as plug-ins of the entry program.

--- /dev/null
+++ b/crates/entry/src/parts.rs
@@ -0,0 +1,204 @@
+//! The parts of an entry process, registered with the kernel.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context as _, Result};
+use radishpaddle_kernel::admin::{AdminServer, Readiness};
+use radishpaddle_kernel::plugin::PluginFuture;
+use radishpaddle_kernel::{Context, Plugin, Program, Running, inventory};
+use radishpaddle_quorum::Life;
+use radishpaddle_wire::message::Hello;
+use radishpaddle_wire::{
+    ClientIdentity, PROTOCOL_VERSION, PeerClient, PeerSecurity, PeerServer, ServerIdentity,
+    TlsFiles,
+};
+
+use crate::addresses::AddressBook;
+use crate::backend_listener::BackendListener;
+use crate::caller_listener::CallerListener;
+use crate::claims::Claims;
+use crate::clock::Clock;
+use crate::config_store::ConfigStore;
+use crate::fleet_view::FleetWatch;
+use crate::metrics::RequestMetrics;
+use crate::peer_handler::EntryPeerHandler;
+use crate::poll_task::{self, PollInputs};
+use crate::request::{RequestHandler, RequestIds};
+use crate::services::Services;
+use crate::settings::EntrySettings;
+use crate::status;
+use crate::witness_port::WitnessPorts;
+use crate::witness_task::WitnessHandle;
+
+inventory::submit! { Plugin { program: Program::Entry, name: "admin", order: 0, start: |context| admin(context) } }
+inventory::submit! { Plugin { program: Program::Entry, name: "witness", order: 10, start: |context| witness(context) } }
+inventory::submit! { Plugin { program: Program::Entry, name: "peers", order: 20, start: |context| peers(context) } }
+inventory::submit! { Plugin { program: Program::Entry, name: "polls", order: 30, start: |context| polls(context) } }
+inventory::submit! { Plugin { program: Program::Entry, name: "services", order: 40, start: |context| services(context) } }
+inventory::submit! { Plugin { program: Program::Entry, name: "backend-servers", order: 50, start: |context| backend_servers(context) } }
+inventory::submit! { Plugin { program: Program::Entry, name: "callers", order: 60, start: |context| callers(context) } }
+
+fn admin(context: Arc<Context>) -> PluginFuture<Result<Running>> {
+    Box::pin(async move {
+        let settings = context.get::<EntrySettings>()?;
+        context.provide(Arc::new(Clock::start()));
+        context.provide(Arc::new(ConfigStore::default()));
+        context.provide(Arc::new(RequestMetrics::register(&context.metrics)?));
+        let extra = status::paths(Arc::clone(&context), tokio::runtime::Handle::current());
+        let server = AdminServer::bind(settings.common.admin_listen, &context, extra)?;
+        Ok(Running::holding(server))
+    })
+}
+
+fn witness(context: Arc<Context>) -> PluginFuture<Result<Running>> {
+    Box::pin(async move {
+        let settings = context.get::<EntrySettings>()?;
+        let identity = identity(&context, &settings)?;
+        let local = settings
+            .is_witness()
+            .then(|| spawn_witness(&context, &settings, &identity))
+            .transpose()?;
+        let own = &settings.common.instance;
+        let local_port = local.clone().map(|handle| (own, handle));
+        let ports = WitnessPorts::new(&settings.witnesses, local_port, &identity);
+        context.provide(Arc::new(ports));
+        context.provide(Arc::new(local));
+        Ok(Running::holding(()))
+    })
+}
+
+fn spawn_witness(
+    context: &Context,
+    settings: &EntrySettings,
+    identity: &ClientIdentity,
+) -> Result<WitnessHandle> {
+    let peers: BTreeMap<_, _> = settings
+        .witnesses
+        .iter()
+        .filter(|witness| witness.instance != settings.common.instance)
+        .map(|witness| {
+            let client = PeerClient::spawn(witness.peer_address, identity.clone());
+            (witness.instance.clone(), client)
+        })
+        .collect();
+    let config = ConfigStore::clone(&*context.get::<ConfigStore>()?);
+    let clock = *context.get::<Clock>()?;
+    Ok(WitnessHandle::spawn(life(context), peers, config, clock))
+}
+
+fn peers(context: Arc<Context>) -> PluginFuture<Result<Running>> {
+    Box::pin(async move {
+        let settings = context.get::<EntrySettings>()?;
+        let handler = EntryPeerHandler {
+            config: ConfigStore::clone(&*context.get::<ConfigStore>()?),
+            witness: Option::clone(&*context.get::<Option<WitnessHandle>>()?),
+        };
+        let client = identity(&context, &settings)?;
+        let identity = ServerIdentity {
+            hello: client.hello,
+            security: client.security,
+        };
+        let address = settings.listen.peers;
+        let server = PeerServer::bind(address, identity, Arc::new(handler))
+            .await
+            .with_context(|| format!("peer address {address}"))?;
+        Ok(Running::holding(server))
+    })
+}
+
+fn polls(context: Arc<Context>) -> PluginFuture<Result<Running>> {
+    Box::pin(async move {
+        let inputs = PollInputs {
+            settings: context.get::<EntrySettings>()?,
+            config: ConfigStore::clone(&*context.get::<ConfigStore>()?),
+            ports: WitnessPorts::clone(&*context.get::<WitnessPorts>()?),
+            clock: *context.get::<Clock>()?,
+            readiness: context.get::<Readiness>()?,
+            context: Arc::clone(&context),
+        };
+        let view = poll_task::spawn(inputs);
+        context.provide(Arc::new(view.clone()));
+        Ok(Running::holding(view))
+    })
+}
+
+fn services(context: Arc<Context>) -> PluginFuture<Result<Running>> {
+    Box::pin(async move {
+        let settings = context.get::<EntrySettings>()?;
+        let services = Services::spawn(
+            Arc::clone(&context),
+            ConfigStore::clone(&*context.get::<ConfigStore>()?),
+            FleetWatch::clone(&*context.get::<FleetWatch>()?),
+            settings.limits.clone(),
+            *context.get::<Clock>()?,
+        );
+        context.provide(Arc::new(services));
+        Ok(Running::holding(()))
+    })
+}
+
+fn backend_servers(context: Arc<Context>) -> PluginFuture<Result<Running>> {
+    Box::pin(async move {
+        let settings = context.get::<EntrySettings>()?;
+        let ports = WitnessPorts::clone(&*context.get::<WitnessPorts>()?);
+        let token = Arc::clone(&settings.backend_token);
+        let address = settings.listen.backend_servers;
+        let listener = BackendListener::bind(address, token, ports).await?;
+        Ok(Running::holding(listener))
+    })
+}
+
+fn callers(context: Arc<Context>) -> PluginFuture<Result<Running>> {
+    Box::pin(async move {
+        let settings = context.get::<EntrySettings>()?;
+        let ports = WitnessPorts::clone(&*context.get::<WitnessPorts>()?);
+        let fleet = FleetWatch::clone(&*context.get::<FleetWatch>()?);
+        let clock = *context.get::<Clock>()?;
+        let lifetime = Duration::from_millis(settings.timing.address_lifetime_ms);
+        let ids = RequestIds::new(context.instance.as_str(), context.incarnation.0);
+        let handler = RequestHandler {
+            config: ConfigStore::clone(&*context.get::<ConfigStore>()?),
+            fleet: fleet.clone(),
+            services: Services::clone(&*context.get::<Services>()?),
+            claims: Claims::new(life(&context), ports, clock),
+            metrics: RequestMetrics::clone(&*context.get::<RequestMetrics>()?),
+            clock,
+            request_ids: ids,
+            settings,
+        };
+        let stopping = context.stopping.clone();
+        let addresses = AddressBook::new(fleet, lifetime);
+        let listener = CallerListener::bind(Arc::new(handler), addresses, stopping).await?;
+        log::info!("entry: callers are served at {}", listener.address());
+        Ok(Running::new(|deadline| listener.stop(deadline)))
+    })
+}
+
+fn life(context: &Context) -> Life {
+    Life {
+        instance: context.instance.clone(),
+        incarnation: context.incarnation,
+    }
+}
+
+fn identity(context: &Context, settings: &EntrySettings) -> Result<ClientIdentity> {
+    let security = match &settings.common.peer_tls {
+        None => PeerSecurity::Plain,
+        Some(files) => PeerSecurity::load(&TlsFiles {
+            authority: files.authority.clone(),
+            certificate: files.certificate.clone(),
+            private_key: files.private_key.clone(),
+        })?,
+    };
+    Ok(ClientIdentity {
+        hello: Hello {
+            fleet: settings.common.fleet.to_string(),
+            instance: context.instance.to_string(),
+            incarnation: context.incarnation.0,
+            protocol_version: PROTOCOL_VERSION,
+        },
+        security,
+    })
+}
--- /dev/null
+++ b/crates/entry/src/peer_handler.rs
@@ -0,0 +1,35 @@
+//! Answers the requests of other processes of the fleet.
+
+use radishpaddle_model::Revision;
+use radishpaddle_wire::message::{failure, request, response};
+use radishpaddle_wire::{PeerHandler, PeerIdentity, failure as refusal};
+
+use crate::config_store::ConfigStore;
+use crate::witness_task::WitnessHandle;
+
+/// Passes each request to the part that owns the state.
+pub struct EntryPeerHandler {
+    /// Configuration for peers that lack it.
+    pub config: ConfigStore,
+    /// Witness of this process, if it is one.
+    pub witness: Option<WitnessHandle>,
+}
+
+impl PeerHandler for EntryPeerHandler {
+    async fn handle(&self, _peer: PeerIdentity, request: request::Kind) -> response::Kind {
+        if let request::Kind::FetchConfig(fetch) = &request {
+            let since = Revision(fetch.since_revision);
+            return match self.config.since(since) {
+                Ok(reply) => response::Kind::Config(reply),
+                Err(error) => refusal(failure::Reason::Refused, error.to_string()),
+            };
+        }
+        match &self.witness {
+            Some(witness) => witness.handle(request).await,
+            None => refusal(
+                failure::Reason::Unsupported,
+                "this instance is not a witness",
+            ),
+        }
+    }
+}
--- a/crates/entry/src/service_task.rs
+++ b/crates/entry/src/service_task.rs
@@ -377,7 +377,11 @@
     }
 
     fn update_members(&mut self) {
-        let members: Vec<_> = self.servers.values().map(|server| server.member()).collect();
+        let members: Vec<_> = self
+            .servers
+            .values()
+            .map(|server| server.member())
+            .collect();
         let subset = subset_size(
             members.len(),
             self.instances,
@@ -538,15 +542,13 @@
             may_trial: false,
             exclude: &request.exclude,
         };
-        let pick =
-            self.balancer
-                .pick(&pick_request, &self.verdicts, &self.paths, &mut self.rng)?;
+        let pick = self
+            .balancer
+            .pick(&pick_request, &self.verdicts, &self.paths, &mut self.rng)?;
         let others: u32 = self.others_in_flight.values().sum();
         let query = HedgeQuery {
             in_flight: others + self.own_in_flight,
-            slots: self
-                .balancer
-                .usable_slots(&self.verdicts, &self.paths, now),
+            slots: self.balancer.usable_slots(&self.verdicts, &self.paths, now),
             other_server_free: !pick.over_slots,
             ..query
         };
@@ -556,15 +558,14 @@
     }
 
     fn finish(&mut self, finished: Finished, now: Duration) {
-        let Some(recorded) =
-            self.recorder
-                .completed(finished.dispatch, finished.completion, now)
+        let Some(recorded) = self
+            .recorder
+            .completed(finished.dispatch, finished.completion, now)
         else {
             return;
         };
         self.own_in_flight = self.own_in_flight.saturating_sub(1);
-        let good =
-            matches!(finished.completion, Completion::Answered { status } if status < 500);
+        let good = matches!(finished.completion, Completion::Answered { status } if status < 500);
         let latency = good.then_some(recorded.elapsed);
         self.balancer.completed(finished.server, latency);
         self.paths
@@ -611,9 +612,7 @@
         servers.sort_by(|left, right| left.backend_server.cmp(&right.backend_server));
         ServiceStatus {
             queued: self.queue.len(),
-            usable_slots: self
-                .balancer
-                .usable_slots(&self.verdicts, &self.paths, now),
+            usable_slots: self.balancer.usable_slots(&self.verdicts, &self.paths, now),
             servers,
         }
     }
--- /dev/null
+++ b/crates/entry/src/services.rs
@@ -0,0 +1,156 @@
+//! The tasks of all services, kept in step with configuration and announced backend servers.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, RwLock};
+
+use radishpaddle_kernel::Context;
+use radishpaddle_model::{FleetConfig, ServiceId};
+use radishpaddle_quorum::witness::InstanceState;
+
+use crate::backend_info::BackendInfo;
+use crate::clock::Clock;
+use crate::config_store::ConfigStore;
+use crate::fleet_view::{FleetView, FleetWatch};
+use crate::service_task::ServiceHandle;
+use crate::settings::LimitSettings;
+
+/// Handles of the service tasks by service.
+#[derive(Clone, Default)]
+pub struct Services(Arc<RwLock<HashMap<ServiceId, ServiceHandle>>>);
+
+impl Services {
+    /// Starts the task that follows configuration and fleet.
+    #[must_use]
+    pub fn spawn(
+        context: Arc<Context>,
+        config: ConfigStore,
+        fleet: FleetWatch,
+        limits: LimitSettings,
+        clock: Clock,
+    ) -> Self {
+        let services = Self::default();
+        let follower = Follower {
+            context,
+            services: services.clone(),
+            limits,
+            clock,
+            servers: HashMap::new(),
+        };
+        tokio::spawn(follower.run(config, fleet));
+        services
+    }
+
+    /// Task of a service.
+    ///
+    /// # Panics
+    ///
+    /// Panics when another thread panicked while it held the lock.
+    #[must_use]
+    pub fn get(&self, service: &ServiceId) -> Option<ServiceHandle> {
+        let services = self.0.read().expect("lock is not poisoned");
+        services.get(service).cloned()
+    }
+
+    /// Every service with its task.
+    ///
+    /// # Panics
+    ///
+    /// Panics when another thread panicked while it held the lock.
+    #[must_use]
+    pub fn all(&self) -> BTreeMap<ServiceId, ServiceHandle> {
+        let services = self.0.read().expect("lock is not poisoned");
+        services
+            .iter()
+            .map(|(service, handle)| (service.clone(), handle.clone()))
+            .collect()
+    }
+}
+
+struct Follower {
+    context: Arc<Context>,
+    services: Services,
+    limits: LimitSettings,
+    clock: Clock,
+    servers: HashMap<ServiceId, (Vec<Arc<BackendInfo>>, usize)>,
+}
+
+impl Follower {
+    async fn run(mut self, config: ConfigStore, mut fleet: FleetWatch) {
+        let mut changes = config.changes();
+        self.configure(&config.current()).await;
+        loop {
+            tokio::select! {
+                changed = changes.next() => match changed {
+                    Some(config) => self.configure(&config).await,
+                    None => return,
+                },
+                changed = fleet.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    let view = fleet.borrow_and_update().clone();
+                    self.distribute(&view).await;
+                }
+            }
+        }
+    }
+
+    async fn configure(&mut self, config: &FleetConfig) {
+        let known = self.services.all();
+        for (service, entry) in &config.services {
+            let document = Arc::clone(&entry.document);
+            let handle = known.get(service).cloned().unwrap_or_else(|| {
+                let handle = ServiceHandle::spawn(
+                    Arc::clone(&document),
+                    &self.context,
+                    self.clock,
+                    self.limits.queue_length,
+                    self.limits.idle_connections_per_server,
+                );
+                self.insert(service.clone(), handle.clone());
+                handle
+            });
+            handle.configure(document).await;
+            if !known.contains_key(service)
+                && let Some((servers, instances)) = self.servers.get(service)
+            {
+                handle.set_servers(servers.clone(), *instances).await;
+            }
+        }
+        let mut services = self.services.0.write().expect("lock is not poisoned");
+        services.retain(|service, _| config.services.contains_key(service));
+    }
+
+    fn insert(&self, service: ServiceId, handle: ServiceHandle) {
+        let mut services = self.services.0.write().expect("lock is not poisoned");
+        services.insert(service, handle);
+    }
+
+    async fn distribute(&mut self, view: &FleetView) {
+        let serving = view
+            .members
+            .values()
+            .filter(|member| member.state == InstanceState::Serving)
+            .count();
+        let mut servers: HashMap<ServiceId, Vec<Arc<BackendInfo>>> = HashMap::new();
+        for server in view.backend_servers.iter() {
+            servers
+                .entry(server.service.clone())
+                .or_default()
+                .push(Arc::clone(server));
+        }
+        for service in self.servers.keys() {
+            servers.entry(service.clone()).or_default();
+        }
+        for (service, servers) in servers {
+            let next = (servers, serving.max(1));
+            if self.servers.get(&service) == Some(&next) {
+                continue;
+            }
+            if let Some(handle) = self.services.get(&service) {
+                handle.set_servers(next.0.clone(), next.1).await;
+            }
+            self.servers.insert(service, next);
+        }
+    }
+}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -11,8 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Settings file of `radishpaddle-entry`.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EntrySettings {
     /// What every program has.
@@ -35,8 +34,7 @@
 }
 
 /// Addresses that are bound.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ListenSettings {
     /// Callers.
@@ -48,8 +46,7 @@
 }
 
 /// Addresses that others use, where they differ from the bound ones.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct AdvertiseSettings {
     /// Address for callers.
@@ -59,8 +56,7 @@
 }
 
 /// One witness.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WitnessSettings {
     /// Instance that is the witness.
@@ -72,8 +68,7 @@
 }
 
 /// Limits on callers and backend servers.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LimitSettings {
     /// Open connections of callers.
@@ -93,8 +88,7 @@
 }
 
 /// Periods and lifetimes.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct TimingSettings {
     /// Period of polls to the witnesses.
@@ -196,12 +190,27 @@
 
 impl LimitSettings {
     fn check(&self, report: &mut Report) {
-        report.range("limits.caller_connections", self.caller_connections, 1, 100_000);
+        report.range(
+            "limits.caller_connections",
+            self.caller_connections,
+            1,
+            100_000,
+        );
         report.range("limits.header_bytes", self.header_bytes, 8 << 10, 1 << 20);
-        report.range("limits.header_timeout_ms", self.header_timeout_ms, 100, 120_000);
+        report.range(
+            "limits.header_timeout_ms",
+            self.header_timeout_ms,
+            100,
+            120_000,
+        );
         report.range("limits.body_timeout_ms", self.body_timeout_ms, 100, 600_000);
         report.range("limits.queue_length", self.queue_length, 1, 100_000);
-        report.range("limits.connect_timeout_ms", self.connect_timeout_ms, 10, 60_000);
+        report.range(
+            "limits.connect_timeout_ms",
+            self.connect_timeout_ms,
+            10,
+            60_000,
+        );
         let idle = self.idle_connections_per_server;
         report.range("limits.idle_connections_per_server", idle, 0, 1024);
     }
@@ -225,12 +234,26 @@
     fn check(&self, report: &mut Report) {
         report.range("timing.poll_ms", self.poll_ms, 10, 1_000);
         report.range("timing.sync_ms", self.sync_ms, 10, 1_000);
-        report.range("timing.freshness_limit_ms", self.freshness_limit_ms, 100, 4_000);
-        report.range("timing.address_lifetime_ms", self.address_lifetime_ms, 0, 60_000);
+        report.range(
+            "timing.freshness_limit_ms",
+            self.freshness_limit_ms,
+            100,
+            4_000,
+        );
+        report.range(
+            "timing.address_lifetime_ms",
+            self.address_lifetime_ms,
+            0,
+            60_000,
+        );
         report.range("timing.keep_alive_ms", self.keep_alive_ms, 100, 60_000);
         if self.poll_ms * 3 > self.freshness_limit_ms {
             let allowed = "at least three times timing.poll_ms";
-            report.add("timing.freshness_limit_ms", &self.freshness_limit_ms, allowed);
+            report.add(
+                "timing.freshness_limit_ms",
+                &self.freshness_limit_ms,
+                allowed,
+            );
         }
     }
 }
--- a/crates/entry/src/witness_task.rs
+++ b/crates/entry/src/witness_task.rs
@@ -155,9 +155,8 @@
             }
             request::Kind::Announce(bytes) => decode(&bytes)
                 .and_then(|announcement| respond(self.witness.announce(now, &announcement))),
-            request::Kind::BackendDelta(bytes) => decode(&bytes).and_then(|(reader, cursor)| {
-                respond(self.witness.backend_delta(&reader, cursor))
-            }),
+            request::Kind::BackendDelta(bytes) => decode(&bytes)
+                .and_then(|(reader, cursor)| respond(self.witness.backend_delta(&reader, cursor))),
             request::Kind::Lease(bytes) => {
                 decode(&bytes).and_then(|lease| respond(self.witness.on_lease_request(now, &lease)))
             }
--- a/crates/model/src/document.rs
+++ b/crates/model/src/document.rs
@@ -15,6 +15,9 @@
 /// Largest request or answer body that a document may allow.
 pub const MAX_BODY: ByteSize = ByteSize(64 << 20);
 
+/// Stands for callers of open routes; no organisation may have this name.
+pub const OPEN_ORGANISATION: &str = "open";
+
 /// One service as its team describes it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -251,6 +254,14 @@
                     "each organisation once",
                 ));
             }
+            if limit.organisation.as_str() == OPEN_ORGANISATION {
+                let value = limit.organisation.as_str();
+                errors.push(error(
+                    field("organisation"),
+                    value,
+                    "a name other than open",
+                ));
+            }
             if limit.burst == 0 {
                 errors.push(error(field("burst"), "0", "at least 1 request"));
             }
