quorum: add rate allocation and the choice of addresses

Cause: design section 4.2 splits one token bucket per limit between the leader and the entry instances; section 4.2 and 4.5 direct callers to few instances.

--- a/crates/quorum/src/claim/message.rs
+++ b/crates/quorum/src/claim/message.rs
@@ -3,10 +3,10 @@
 use std::fmt;
 use std::sync::Arc;
 
-use radishpaddle_model::{Incarnation, InstanceId, OrganisationId, ServiceId};
+use radishpaddle_model::{InstanceId, OrganisationId, ServiceId};
 use serde::{Deserialize, Serialize};
 
-use crate::group::Generation;
+use crate::group::{Generation, Life};
 
 /// Longest idempotency key, in bytes. Longer ones are refused by the witnesses.
 pub const MAX_KEY_BYTES: usize = 256;
@@ -26,9 +26,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct AttemptId {
     /// Entry instance that would dispatch.
-    pub instance: InstanceId,
-    /// Life of the entry instance.
-    pub incarnation: Incarnation,
+    pub life: Life,
     /// Number within that life.
     pub number: u64,
 }
@@ -196,6 +194,6 @@
 
 impl fmt::Display for AttemptId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}/{}", self.instance, self.incarnation, self.number)
+        write!(f, "{}/{}", self.life, self.number)
     }
 }
--- a/crates/quorum/src/group.rs
+++ b/crates/quorum/src/group.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use radishpaddle_model::InstanceId;
+use radishpaddle_model::{Incarnation, InstanceId};
 use serde::{Deserialize, Serialize};
 
 /// How long after a message was sent its answer may still count towards a majority.
@@ -32,6 +32,15 @@
 #[serde(transparent)]
 pub struct Epoch(pub u64);
 
+/// One life of an instance, from its start to its end.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Life {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Distinguishes its lives.
+    pub incarnation: Incarnation,
+}
+
 /// The witnesses of one generation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WitnessGroup {
@@ -71,6 +80,12 @@
     }
 }
 
+impl fmt::Display for Life {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.instance, self.incarnation)
+    }
+}
+
 impl fmt::Display for Generation {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.fmt(f)
--- a/crates/quorum/src/lease.rs
+++ b/crates/quorum/src/lease.rs
@@ -7,11 +7,11 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use radishpaddle_model::{Incarnation, InstanceId};
+use radishpaddle_model::InstanceId;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
-use crate::group::{Epoch, Generation, RESTART_HOLD, WitnessGroup, reached_by};
+use crate::group::{Epoch, Generation, Life, RESTART_HOLD, WitnessGroup, reached_by};
 
 /// Time for which a holder may act after it sent a request that a majority granted.
 pub const LEASE: Duration = Duration::from_millis(1500);
@@ -53,15 +53,15 @@
     /// Generation of the sender.
     pub generation: Generation,
     /// Sender.
-    pub candidate: InstanceId,
-    /// Life of the sender.
-    pub incarnation: Incarnation,
+    pub candidate: Life,
     /// Epoch asked for; ignored in a probe.
     pub epoch: Epoch,
     /// Number of the request, to be repeated in the answer.
     pub number: u64,
     /// Why it is sent.
     pub kind: LeaseKind,
+    /// Whether the sender keeps at most one request of burst per limit for itself; see [`LeaseMember::set_ready`].
+    pub ready: bool,
 }
 
 /// Answer to a [`LeaseRequest`].
@@ -72,9 +72,7 @@
     /// Granter.
     pub witness: InstanceId,
     /// Receiver of the answer.
-    pub candidate: InstanceId,
-    /// Life of the receiver.
-    pub incarnation: Incarnation,
+    pub candidate: Life,
     /// Number of the request.
     pub number: u64,
     /// Whether the request is granted.
@@ -87,27 +85,37 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Leader {
     /// The instance.
-    pub instance: InstanceId,
+    pub life: Life,
     /// Epoch of its lease.
     pub epoch: Epoch,
 }
 
+/// Lease of a witness that holds it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Leadership {
+    /// Current epoch; grows within one unbroken lease when a witness had promised a higher one to somebody else.
+    pub epoch: Epoch,
+    /// Epoch in which the unbroken lease began. State of the leader is bound to it.
+    pub since_epoch: Epoch,
+    /// Local time at which the lease ends unless it is renewed.
+    pub until: Duration,
+}
+
 /// What a witness has granted last; part of the copy for a recovering witness.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Promise {
     /// Granted epoch.
     pub epoch: Epoch,
     /// Receiver of the grant.
-    pub candidate: InstanceId,
-    /// Life of the receiver.
-    pub incarnation: Incarnation,
+    pub candidate: Life,
+    /// Whether the receiver was ready; see [`LeaseMember::set_ready`].
+    pub ready: bool,
 }
 
 /// One witness as granter, candidate and holder.
 #[derive(Debug, Clone)]
 pub struct LeaseMember {
-    id: InstanceId,
-    incarnation: Incarnation,
+    life: Life,
     group: WitnessGroup,
     grants_from: Duration,
     granted: Option<Granted>,
@@ -116,6 +124,8 @@
     rounds: VecDeque<Round>,
     next_number: u64,
     highest_epoch: Epoch,
+    predecessor: Option<Life>,
+    ready: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -142,6 +152,7 @@
     Probing(Grants),
     Candidate(Grants),
     Holder {
+        since_epoch: Epoch,
         epoch: Epoch,
         wanted: Epoch,
         grants: Grants,
@@ -151,16 +162,10 @@
 impl LeaseMember {
     /// Member that has just started and remembers no grant. It grants nothing before [`RESTART_HOLD`] has passed.
     #[must_use]
-    pub fn new(
-        id: InstanceId,
-        incarnation: Incarnation,
-        group: WitnessGroup,
-        now: Duration,
-    ) -> Self {
+    pub fn new(life: Life, group: WitnessGroup, now: Duration) -> Self {
         let highest_epoch = Epoch::floor(group.generation);
         Self {
-            id,
-            incarnation,
+            life,
             group,
             grants_from: now + RESTART_HOLD,
             granted: None,
@@ -169,6 +174,8 @@
             rounds: VecDeque::new(),
             next_number: 0,
             highest_epoch,
+            predecessor: None,
+            ready: false,
         }
     }
 
@@ -190,16 +197,36 @@
         self.granted.as_ref().map(|granted| &granted.promise)
     }
 
-    /// Epoch of the lease if this witness holds it at the local time `now`.
+    /// The lease if this witness holds it at the local time `now`.
     #[must_use]
-    pub fn leadership(&self, now: Duration) -> Option<Epoch> {
-        match &self.role {
-            Role::Holder { epoch, grants, .. } => {
-                let base = self.majority_sent_at(grants)?;
-                (now < base + LEASE).then_some(*epoch)
-            }
-            _ => None,
-        }
+    pub fn leadership(&self, now: Duration) -> Option<Leadership> {
+        let Role::Holder {
+            since_epoch,
+            epoch,
+            grants,
+            ..
+        } = &self.role
+        else {
+            return None;
+        };
+        let until = self.majority_sent_at(grants)? + LEASE;
+        (now < until).then_some(Leadership {
+            epoch: *epoch,
+            since_epoch: *since_epoch,
+            until,
+        })
+    }
+
+    /// Life that held the lease before this one, if nobody else can have held it in between and it was ready.
+    #[must_use]
+    pub fn predecessor(&self) -> Option<&Life> {
+        self.predecessor.as_ref()
+    }
+
+    /// Tells the granters that this holder keeps no rate and at most one request of burst per limit for itself, and will
+    /// not take more while it holds the lease. Its successor then need not wait for its allocations to expire.
+    pub fn set_ready(&mut self) {
+        self.ready = matches!(self.role, Role::Holder { .. });
     }
 
     /// Holder that this witness knows; the holder may have changed meanwhile.
@@ -207,7 +234,7 @@
     pub fn known_leader(&self, now: Duration) -> Option<Leader> {
         let granted = self.granted.as_ref()?;
         (granted.holds && now < granted.until).then(|| Leader {
-            instance: granted.promise.candidate.clone(),
+            life: granted.promise.candidate.clone(),
             epoch: granted.promise.epoch,
         })
     }
@@ -241,7 +268,9 @@
 
     /// Answer to a request of another witness; `None` when it is not for this generation or comes too early.
     pub fn on_request(&mut self, now: Duration, request: &LeaseRequest) -> Option<LeaseReply> {
-        let admitted = self.group.admits(request.generation, &request.candidate);
+        let admitted = self
+            .group
+            .admits(request.generation, &request.candidate.instance);
         if !admitted || now < self.grants_from {
             return None;
         }
@@ -251,9 +280,8 @@
         };
         Some(LeaseReply {
             generation: self.group.generation,
-            witness: self.id.clone(),
+            witness: self.life.instance.clone(),
             candidate: request.candidate.clone(),
-            incarnation: request.incarnation,
             number: request.number,
             granted,
             highest_epoch: self.highest_epoch,
@@ -266,7 +294,7 @@
         now: Duration,
         reply: &LeaseReply,
     ) -> Vec<(InstanceId, LeaseRequest)> {
-        let own = reply.candidate == self.id && reply.incarnation == self.incarnation;
+        let own = reply.candidate == self.life;
         if !own || !self.group.admits(reply.generation, &reply.witness) {
             return Vec::new();
         }
@@ -310,6 +338,11 @@
     }
 
     fn start_campaign(&mut self, now: Duration) -> Vec<(InstanceId, LeaseRequest)> {
+        let last = self
+            .promise()
+            .filter(|promise| promise.ready && promise.epoch == self.highest_epoch);
+        self.predecessor = last.map(|promise| promise.candidate.clone());
+        self.ready = false;
         self.rounds.clear();
         self.role = Role::Candidate(Grants::new());
         self.next_at = Some(now + ATTEMPT_TIMEOUT);
@@ -334,18 +367,18 @@
         }
         let request = LeaseRequest {
             generation: self.group.generation,
-            candidate: self.id.clone(),
-            incarnation: self.incarnation,
+            candidate: self.life.clone(),
             epoch,
             number: self.next_number,
             kind,
+            ready: self.ready,
         };
         let mut messages: Vec<_> = Vec::new();
         for witness in self
             .group
             .witnesses
             .iter()
-            .filter(|witness| **witness != self.id)
+            .filter(|witness| **witness != self.life.instance)
         {
             messages.push((witness.clone(), request.clone()));
         }
@@ -357,17 +390,13 @@
 
     fn is_free_for(&self, now: Duration, request: &LeaseRequest) -> bool {
         self.granted.as_ref().is_none_or(|granted| {
-            let same = granted.promise.candidate == request.candidate
-                && granted.promise.incarnation == request.incarnation;
-            same || now >= granted.until
+            granted.promise.candidate == request.candidate || now >= granted.until
         })
     }
 
     fn grant(&mut self, now: Duration, request: &LeaseRequest) -> bool {
         let repeated = self.promise().is_some_and(|promise| {
-            promise.epoch == request.epoch
-                && promise.candidate == request.candidate
-                && promise.incarnation == request.incarnation
+            promise.epoch == request.epoch && promise.candidate == request.candidate
         });
         let granted_epoch = self
             .promise()
@@ -379,7 +408,7 @@
         let promise = Promise {
             epoch: request.epoch,
             candidate: request.candidate.clone(),
-            incarnation: request.incarnation,
+            ready: request.ready,
         };
         self.highest_epoch = self.highest_epoch.max(request.epoch);
         self.granted = Some(Granted {
@@ -414,6 +443,7 @@
             Role::Candidate(grants) if complete && now < round.sent_at + LEASE => {
                 let grants = std::mem::take(grants);
                 self.role = Role::Holder {
+                    since_epoch: round.epoch,
                     epoch: round.epoch,
                     wanted: round.epoch,
                     grants,
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -3,6 +3,8 @@
 //! Every function takes the local time as a `Duration` since an arbitrary start of the process. Messages are plain data;
 //! the caller sends what is returned. `docs/design.md`, sections 3 and 4, is the reference.
 
+pub mod address;
+pub mod allocation;
 pub mod claim;
 pub mod freshness;
 pub mod group;
@@ -10,4 +12,4 @@
 pub mod table;
 pub mod witness;
 
-pub use group::{Epoch, Generation, WitnessGroup};
+pub use group::{Epoch, Generation, Life, WitnessGroup};
--- a/crates/quorum/src/table.rs
+++ b/crates/quorum/src/table.rs
@@ -160,7 +160,7 @@
     }
 }
 
-impl<K: Ord, V> TableView<K, V> {
+impl<K: Clone + Ord, V: Clone> TableView<K, V> {
     /// Position to ask from.
     #[must_use]
     pub fn cursor(&self) -> Cursor {
@@ -174,7 +174,7 @@
     }
 
     /// Applies changes; ignores those that do not continue from this position. Returns whether an entry changed.
-    pub fn apply(&mut self, delta: Delta<K, V>) -> bool {
+    pub fn apply(&mut self, delta: &Delta<K, V>) -> bool {
         let same_origin = delta.cursor.origin == self.cursor.origin;
         match delta.since {
             Some(since) if !same_origin || since.version > self.cursor.version => return false,
@@ -188,7 +188,7 @@
         for key in &delta.removed {
             self.entries.remove(key);
         }
-        self.entries.extend(delta.changed);
+        self.entries.extend(delta.changed.iter().cloned());
         self.cursor = delta.cursor;
         changed
     }
--- a/crates/quorum/src/witness.rs
+++ b/crates/quorum/src/witness.rs
@@ -11,12 +11,13 @@
 
 use std::time::Duration;
 
-use radishpaddle_model::{Announcement, Incarnation, InstanceId, Revision};
+use radishpaddle_model::{Announcement, InstanceId, Revision};
 use rand::Rng;
 
 pub use backends::{Announced, BackendKey, BackendTable, LEASE_EXPIRY, TOMBSTONE_RETENTION};
 pub use instances::{
-    INSTANCE_EXPIRY, InstanceRecord, InstanceState, InstanceTable, MembershipView,
+    INSTANCE_EXPIRY, INSTANCE_RETENTION, InstanceRecord, InstanceState, InstanceTable,
+    MembershipView,
 };
 pub use message::{
     BackendCopy, GenerationError, GenerationStart, InstanceCopy, PollReply, PollRequest,
@@ -27,16 +28,15 @@
     AbandonReply, AbandonRequest, AttemptId, ClaimRegister, ClaimReply, ClaimRequest,
     ClaimSettings, CompleteReply, CompleteRequest,
 };
-use crate::group::{Epoch, Generation, WitnessGroup};
-use crate::lease::{Leader, LeaseMember, LeaseReply, LeaseRequest};
+use crate::group::{Generation, Life, WitnessGroup};
+use crate::lease::{Leader, Leadership, LeaseMember, LeaseReply, LeaseRequest};
 use crate::table::{Cursor, Delta};
 use recovery::Recovery;
 
 /// One witness.
 #[derive(Debug, Clone)]
 pub struct Witness {
-    id: InstanceId,
-    incarnation: Incarnation,
+    life: Life,
     claim_settings: ClaimSettings,
     phase: Phase,
 }
@@ -61,31 +61,26 @@
     /// Witness that has just started. `peers` are the instances to ask for copies.
     #[must_use]
     pub fn new(
-        id: InstanceId,
-        incarnation: Incarnation,
+        life: Life,
         peers: impl IntoIterator<Item = InstanceId>,
         claim_settings: ClaimSettings,
         now: Duration,
     ) -> Self {
-        let peers = peers.into_iter().filter(|peer| *peer != id).collect();
+        let peers = peers
+            .into_iter()
+            .filter(|peer| *peer != life.instance)
+            .collect();
         Self {
-            id,
-            incarnation,
+            life,
             claim_settings,
             phase: Phase::Recovering(Recovery::new(peers, now)),
         }
     }
 
-    /// Name of the witness.
+    /// The witness.
     #[must_use]
-    pub fn id(&self) -> &InstanceId {
-        &self.id
-    }
-
-    /// Life of the witness.
-    #[must_use]
-    pub fn incarnation(&self) -> Incarnation {
-        self.incarnation
+    pub fn life(&self) -> &Life {
+        &self.life
     }
 
     /// Whether the witness still lacks the state of its earlier life.
@@ -106,9 +101,9 @@
         self.serving().map(|serving| serving.revision)
     }
 
-    /// Epoch of the lease if this witness is the leader at the local time `now`.
+    /// The lease if this witness is the leader at the local time `now`.
     #[must_use]
-    pub fn leadership(&self, now: Duration) -> Option<Epoch> {
+    pub fn leadership(&self, now: Duration) -> Option<Leadership> {
         self.serving()?.lease.leadership(now)
     }
 
@@ -118,6 +113,20 @@
         self.serving()?.lease.known_leader(now)
     }
 
+    /// Life that held the lease before this leader, if what it held is known to be little; see
+    /// [`LeaseMember::predecessor`].
+    #[must_use]
+    pub fn predecessor(&self) -> Option<&Life> {
+        self.serving()?.lease.predecessor()
+    }
+
+    /// Tells the other witnesses that this leader holds almost no allocation itself; see [`LeaseMember::set_ready`].
+    pub fn set_ready(&mut self) {
+        if let Some(serving) = self.serving_mut() {
+            serving.lease.set_ready();
+        }
+    }
+
     /// Members as this witness knows them; `None` while it recovers.
     #[must_use]
     pub fn instances(&self) -> Option<&InstanceTable> {
@@ -139,7 +148,7 @@
     /// Expires what is due and returns the messages to send. Call it at least every 50 ms.
     pub fn tick(&mut self, now: Duration, rng: &mut impl Rng) -> Vec<(InstanceId, WitnessMessage)> {
         match &mut self.phase {
-            Phase::Recovering(recovery) => recovery.tick(&self.id, self.incarnation, now),
+            Phase::Recovering(recovery) => recovery.tick(&self.life, now),
             Phase::Serving(serving) => {
                 serving.instances.expire(now);
                 let known = serving
@@ -154,14 +163,13 @@
 
     /// Answers a poll. `None` while the witness recovers.
     pub fn poll(&mut self, now: Duration, request: &PollRequest) -> Option<PollReply> {
-        let (id, incarnation) = (self.id.clone(), self.incarnation);
+        let life = self.life.clone();
         let serving = self.serving_mut()?;
         serving.instances.hear(now, request);
         let outdated = request.generation != serving.group.generation;
         Some(PollReply {
             generation: serving.group.generation,
-            witness: id,
-            witness_incarnation: incarnation,
+            witness: life,
             number: request.number,
             revision: serving.revision,
             leader: serving.lease.known_leader(now),
@@ -173,7 +181,7 @@
     /// Stores a revision; call it once the content is in memory. `None` while the witness recovers or when the push is
     /// for another generation.
     pub fn store(&mut self, generation: Generation, revision: Revision) -> Option<StoreReply> {
-        let id = self.id.clone();
+        let id = self.life.instance.clone();
         let serving = self.serving_of(generation)?;
         serving.revision = serving.revision.max(revision);
         Some(StoreReply {
@@ -190,27 +198,23 @@
 
     /// Changes of the backend servers for a reader at `cursor`. `None` while the witness recovers.
     ///
-    /// `reader` and the life of the reader are remembered: what every live reader has seen may be forgotten.
+    /// The position of the reader is remembered: what every live reader has seen may be forgotten.
     pub fn backend_delta(
         &mut self,
-        reader: &InstanceId,
-        incarnation: Incarnation,
+        reader: &Life,
         cursor: Cursor,
     ) -> Option<Delta<BackendKey, Announcement>> {
         let serving = self.serving_mut()?;
-        serving
-            .instances
-            .acknowledge_backends(reader, incarnation, cursor);
+        serving.instances.acknowledge_backends(reader, cursor);
         Some(serving.backends.delta_since(cursor))
     }
 
     /// Votes on a claim. `None` while the witness recovers.
     pub fn claim(&mut self, now: Duration, request: &ClaimRequest) -> Option<ClaimReply> {
-        let id = self.id.clone();
+        let id = self.life.instance.clone();
         let serving = self.serving_of(request.generation)?;
         let instances = &serving.instances;
-        let is_alive =
-            |attempt: &AttemptId| instances.is_alive(&attempt.instance, attempt.incarnation);
+        let is_alive = |attempt: &AttemptId| instances.is_alive(&attempt.life);
         let vote = serving.claims.claim(now, request, is_alive);
         Some(ClaimReply {
             generation: request.generation,
@@ -222,7 +226,7 @@
 
     /// Records the outcome of an attempt, also one of an earlier generation. `None` while the witness recovers.
     pub fn complete(&mut self, now: Duration, request: &CompleteRequest) -> Option<CompleteReply> {
-        let witness = self.id.clone();
+        let witness = self.life.instance.clone();
         let stored = self.serving_mut()?.claims.complete(now, request);
         Some(CompleteReply {
             witness,
@@ -233,7 +237,7 @@
 
     /// Frees the claim of an attempt. `None` while the witness recovers or when its memory is used up.
     pub fn abandon(&mut self, now: Duration, request: &AbandonRequest) -> Option<AbandonReply> {
-        let witness = self.id.clone();
+        let witness = self.life.instance.clone();
         let stored = self.serving_mut()?.claims.abandon(now, request);
         stored.then(|| AbandonReply {
             witness,
--- a/crates/quorum/src/witness/message.rs
+++ b/crates/quorum/src/witness/message.rs
@@ -3,13 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use radishpaddle_model::{Announcement, AvailabilityZone, Incarnation, InstanceId, Revision};
+use radishpaddle_model::{Announcement, AvailabilityZone, InstanceId, Revision};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use super::instances::{InstanceRecord, InstanceState};
 use crate::claim::ClaimCopy;
-use crate::group::{Generation, WitnessGroup};
+use crate::group::{Generation, Life, WitnessGroup};
 use crate::lease::{Leader, LeaseRequest, Promise};
 use crate::table::{Cursor, Delta};
 
@@ -19,9 +19,7 @@
     /// Generation that the sender knows; 0 for none.
     pub generation: Generation,
     /// Sender.
-    pub instance: InstanceId,
-    /// Life of the sender.
-    pub incarnation: Incarnation,
+    pub life: Life,
     /// Number of the poll within that life.
     pub number: u64,
     /// Where the sender accepts requests.
@@ -42,9 +40,7 @@
     /// Generation of the witness.
     pub generation: Generation,
     /// The witness.
-    pub witness: InstanceId,
-    /// Life of the witness.
-    pub witness_incarnation: Incarnation,
+    pub witness: Life,
     /// Number of the poll.
     pub number: u64,
     /// Highest revision that the witness has stored.
@@ -52,7 +48,7 @@
     /// Leader that the witness knows.
     pub leader: Option<Leader>,
     /// Members that changed.
-    pub instances: Delta<InstanceId, InstanceRecord>,
+    pub instances: Delta<Life, InstanceRecord>,
     /// The group, when the poll named another generation.
     pub group: Option<WitnessGroup>,
 }
@@ -72,9 +68,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecoverRequest {
     /// The witness that has restarted.
-    pub witness: InstanceId,
-    /// Its life.
-    pub incarnation: Incarnation,
+    pub witness: Life,
 }
 
 /// State of a witness for one that has restarted.
@@ -104,7 +98,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceCopy {
     /// The member.
-    pub instance: InstanceId,
+    pub life: Life,
     /// What is known of it.
     pub record: InstanceRecord,
     /// Number of its last poll.
@@ -130,10 +124,8 @@
 pub struct GenerationStart {
     /// The new group.
     pub group: WitnessGroup,
-    /// Receiver.
-    pub witness: InstanceId,
-    /// Life of the receiver that control knows; a delayed message must not start a later life without memory.
-    pub incarnation: Incarnation,
+    /// Receiver, in the life that control knows; a delayed message must not start a later life without memory.
+    pub witness: Life,
     /// Highest revision that control has committed.
     pub revision: Revision,
     /// Whether claims of an earlier generation may be lost. False only for the first generation of a fleet.
--- a/crates/quorum/src/witness/recovery.rs
+++ b/crates/quorum/src/witness/recovery.rs
@@ -3,14 +3,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use radishpaddle_model::{Incarnation, InstanceId};
+use radishpaddle_model::{InstanceId, Revision};
 
 use super::message::{
     GenerationError, GenerationStart, RecoverRequest, WitnessCopy, WitnessMessage,
 };
 use super::{BackendTable, InstanceTable, Phase, Serving, Witness};
 use crate::claim::ClaimRegister;
-use crate::group::{RESTART_HOLD, WitnessGroup};
+use crate::group::{Life, RESTART_HOLD, WitnessGroup};
 use crate::lease::LeaseMember;
 
 /// Time between two requests for copies.
@@ -37,19 +37,13 @@
 
     /// Requests for copies. None is sent before [`RESTART_HOLD`] has passed: a copy that is taken earlier can lack a
     /// majority that counts an answer of the earlier life.
-    pub(super) fn tick(
-        &mut self,
-        id: &InstanceId,
-        incarnation: Incarnation,
-        now: Duration,
-    ) -> Vec<(InstanceId, WitnessMessage)> {
+    pub(super) fn tick(&mut self, life: &Life, now: Duration) -> Vec<(InstanceId, WitnessMessage)> {
         if now < self.next_at {
             return Vec::new();
         }
         self.next_at = now + REQUEST_PERIOD;
         let request = RecoverRequest {
-            witness: id.clone(),
-            incarnation,
+            witness: life.clone(),
         };
         let missing = self
             .peers
@@ -78,7 +72,7 @@
         let serving = self.serving()?;
         Some(WitnessCopy {
             request: request.clone(),
-            from: self.id.clone(),
+            from: self.life.instance.clone(),
             group: serving.group.clone(),
             revision: serving.revision,
             instances: serving.instances.copies(now),
@@ -91,15 +85,15 @@
 
     /// Takes a copy. The witness answers again once a majority of the group, itself not counted, has sent one.
     pub fn on_copy(&mut self, now: Duration, copy: WitnessCopy) {
-        let own = copy.request.witness == self.id && copy.request.incarnation == self.incarnation;
+        let own = copy.request.witness == self.life;
         let Phase::Recovering(recovery) = &mut self.phase else {
             return;
         };
-        if !own || copy.from == self.id {
+        if !own || copy.from == self.life.instance {
             return;
         }
         recovery.copies.insert(copy.from.clone(), (now, copy));
-        if let Some(group) = recovery.complete_group(&self.id) {
+        if let Some(group) = recovery.complete_group(&self.life.instance) {
             let started_at = recovery.started_at;
             let copies = std::mem::take(&mut recovery.copies);
             self.serve(now, started_at, group, copies.into_values());
@@ -115,10 +109,10 @@
         now: Duration,
         start: &GenerationStart,
     ) -> Result<(), GenerationError> {
-        if start.witness != self.id || start.incarnation != self.incarnation {
+        if start.witness != self.life {
             return Err(GenerationError::OtherIncarnation);
         }
-        if !start.group.witnesses.contains(&self.id) {
+        if !start.group.witnesses.contains(&self.life.instance) {
             return Err(GenerationError::NotInGroup);
         }
         if let Some(group) = self
@@ -130,11 +124,11 @@
         if self.is_recovering() {
             self.serve(now, now, start.group.clone(), std::iter::empty());
         }
-        let (id, incarnation) = (self.id.clone(), self.incarnation);
+        let life = self.life.clone();
         if let Some(serving) = self.serving_mut() {
             serving.group = start.group.clone();
             serving.revision = serving.revision.max(start.revision);
-            serving.lease = LeaseMember::new(id, incarnation, start.group.clone(), now);
+            serving.lease = LeaseMember::new(life, start.group.clone(), now);
             if start.claims_lost {
                 serving.claims.refuse_for_retention(now);
             }
@@ -149,12 +143,12 @@
         group: WitnessGroup,
         copies: impl Iterator<Item = (Duration, WitnessCopy)>,
     ) {
-        let lease = LeaseMember::new(self.id.clone(), self.incarnation, group.clone(), started_at);
+        let lease = LeaseMember::new(self.life.clone(), group.clone(), started_at);
         let mut serving = Serving {
             group,
-            revision: radishpaddle_model::Revision(0),
-            instances: InstanceTable::new(self.incarnation),
-            backends: BackendTable::new(self.incarnation),
+            revision: Revision(0),
+            instances: InstanceTable::new(self.life.incarnation),
+            backends: BackendTable::new(self.life.incarnation),
             claims: ClaimRegister::new(self.claim_settings.clone()),
             lease,
         };
