--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -213,24 +213,24 @@
     }
 
     /// The end of the request, or the fault after which a retry may be asked for.
-    fn conclude(&self, end: AttemptEnd) -> Result<RequestEnd, Fault> {
+    fn conclude(&self, end: AttemptEnd) -> Result<RequestEnd, Box<Fault>> {
         match end.outcome {
-            Attempt::Answered(answer) if is_shed(&answer) => Err(Fault {
+            Attempt::Answered(answer) if is_shed(&answer) => Err(Box::new(Fault {
                 fault: AttemptFault::Shed,
                 end: RequestEnd::NotRun(ResultCode::Shed),
-            }),
+            })),
             Attempt::Answered(answer) if self.idempotent && answer.status.as_u16() >= 500 => {
-                Err(Fault {
+                Err(Box::new(Fault {
                     fault: AttemptFault::ServerError,
                     end: RequestEnd::Answered(answered(answer)),
-                })
+                }))
             }
             Attempt::Answered(answer) => Ok(RequestEnd::Answered(answered(answer))),
-            Attempt::NotSent(_) => Err(Fault {
+            Attempt::NotSent(_) => Err(Box::new(Fault {
                 fault: AttemptFault::ConnectFailed,
                 end: RequestEnd::NotRun(ResultCode::BackendUnreachable),
-            }),
-            Attempt::Unknown(failure) => Err(unknown(failure, end.server)),
+            })),
+            Attempt::Unknown(failure) => Err(Box::new(unknown(failure, end.server))),
         }
     }
 }
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -120,12 +120,11 @@
         loop {
             let remaining = attempt.deadline().saturating_sub(self.clock.now());
             let vote = tokio::time::timeout(remaining, received.recv()).await;
-            let decision = match vote {
-                Ok(Some(reply)) => attempt.on_reply(self.clock.now(), &reply),
-                Ok(None) | Err(_) => {
-                    tokio::time::sleep(attempt.deadline().saturating_sub(self.clock.now())).await;
-                    attempt.on_tick(self.clock.now())
-                }
+            let decision = if let Ok(Some(reply)) = vote {
+                attempt.on_reply(self.clock.now(), &reply)
+            } else {
+                tokio::time::sleep(attempt.deadline().saturating_sub(self.clock.now())).await;
+                attempt.on_tick(self.clock.now())
             };
             if let Some(decision) = decision {
                 return decision;
--- a/crates/entry/src/parts.rs
+++ b/crates/entry/src/parts.rs
@@ -60,9 +60,9 @@
             .is_witness()
             .then(|| spawn_witness(&context, &settings, &identity))
             .transpose()?;
-        let own = &settings.common.instance;
+        let own = settings.common.instance.clone();
         let local_port = local.clone().map(|handle| (own, handle));
-        let ports = WitnessPorts::new(&settings.witnesses, local_port, &identity);
+        let ports = WitnessPorts::new(&settings.witnesses, local_port.as_ref(), &identity);
         context.provide(Arc::new(ports));
         context.provide(Arc::new(local));
         Ok(Running::holding(()))
--- a/crates/entry/src/poll_task.rs
+++ b/crates/entry/src/poll_task.rs
@@ -199,7 +199,7 @@
             } => self.take_poll(&witness, sent_at, reply),
             Answer::Backends { witness, delta } => {
                 let view = self.backends.entry(witness).or_default();
-                if view.apply(delta) {
+                if view.apply(&delta) {
                     self.publish();
                 }
             }
@@ -208,7 +208,6 @@
     }
 
     fn take_poll(&mut self, witness: &InstanceId, sent_at: Duration, reply: PollReply) {
-        let now = self.inputs.clock.now();
         if let Some(group) = reply.group {
             self.freshness.set_group(group);
         }
@@ -217,7 +216,7 @@
         self.freshness.set_applied(applied);
         self.freshness
             .record_answer(sent_at, witness, reply.generation, reply.revision);
-        self.members.apply(now, sent_at, witness, reply.instances);
+        self.members.apply(sent_at, witness, &reply.instances);
         self.leaders.insert(witness.clone(), reply.leader);
         if reply.revision > applied {
             self.fetch(witness, applied);
@@ -277,7 +276,7 @@
     /// Servers that any witness knows, each by its newest announcement.
     fn backend_servers(&mut self, now: Duration) -> Vec<Arc<BackendInfo>> {
         let mut newest: BTreeMap<&BackendKey, &Announcement> = BTreeMap::new();
-        for (key, announcement) in self.backends.values().flat_map(|view| view.entries()) {
+        for (key, announcement) in self.backends.values().flat_map(TableView::entries) {
             let known = newest.entry(key).or_insert(announcement);
             if announcement.version() > known.version() {
                 *known = announcement;
--- a/crates/entry/src/service_task.rs
+++ b/crates/entry/src/service_task.rs
@@ -504,10 +504,11 @@
             .dispatched(pick.server, request.class, pick.over_slots, now);
         self.balancer.dispatched(pick.server);
         self.own_in_flight += 1;
+        let connection = self.idle_connection(pick.server, request.idempotent);
         let class = self.classes.get(&request.class);
         let hedged = request.idempotent && self.document.retry.hedge;
         Some(Grant {
-            connection: self.idle_connection(pick.server, request.idempotent),
+            connection,
             server,
             hedge_after: class.filter(|_| hedged).and_then(HedgeClass::delay),
             dispatch,
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -76,16 +76,16 @@
 
 impl Follower {
     async fn run(mut self, config: ConfigStore, mut fleet: FleetWatch) {
-        let mut changes = config.changes();
+        let mut newer = config.changes();
         self.configure(&config.current()).await;
         loop {
             tokio::select! {
-                changed = changes.next() => match changed {
+                next = newer.next() => match next {
                     Some(config) => self.configure(&config).await,
                     None => return,
                 },
-                changed = fleet.changed() => {
-                    if changed.is_err() {
+                update = fleet.changed() => {
+                    if update.is_err() {
                         return;
                     }
                     let view = fleet.borrow_and_update().clone();
--- a/crates/entry/src/status.rs
+++ b/crates/entry/src/status.rs
@@ -56,10 +56,10 @@
     let fresh_for = view
         .fresh_until
         .map(|until| until.saturating_sub(now).as_millis());
-    let mut states = serde_json::Map::new();
+    let mut by_service = serde_json::Map::new();
     for (service, handle) in services.all() {
         let status = runtime.block_on(handle.status());
-        states.insert(service.to_string(), json!(status));
+        by_service.insert(service.to_string(), json!(status));
     }
     let members: Vec<_> = view
         .members
@@ -75,6 +75,6 @@
         "fresh_for_ms": fresh_for.and_then(|ms| u64::try_from(ms).ok()),
         "leader": view.leader,
         "members": members,
-        "services": states,
+        "services": by_service,
     }))
 }
--- a/crates/entry/src/witness_port.rs
+++ b/crates/entry/src/witness_port.rs
@@ -64,11 +64,11 @@
     #[must_use]
     pub fn new(
         witnesses: &[WitnessSettings],
-        local: Option<(&InstanceId, WitnessHandle)>,
+        local: Option<&(InstanceId, WitnessHandle)>,
         identity: &ClientIdentity,
     ) -> Self {
-        let port = |witness: &WitnessSettings| match &local {
-            Some((instance, handle)) if **instance == witness.instance => {
+        let port = |witness: &WitnessSettings| match local {
+            Some((instance, handle)) if *instance == witness.instance => {
                 WitnessPort::Local(handle.clone())
             }
             _ => WitnessPort::Remote(PeerClient::spawn(witness.peer_address, identity.clone())),
--- a/crates/entry/src/witness_task.rs
+++ b/crates/entry/src/witness_task.rs
@@ -141,7 +141,7 @@
             }
             WitnessRequest::Leadership(reply) => {
                 let epoch = self.witness.leadership(now);
-                let _ = reply.send(epoch.map(|epoch| epoch.0));
+                let _ = reply.send(epoch.map(|leadership| leadership.epoch.0));
             }
         }
     }
@@ -192,9 +192,20 @@
             recovering: self.witness.is_recovering(),
             generation,
             revision: self.witness.revision().unwrap_or_default(),
+            members: self.applied_revisions(),
         }
     }
 
+    fn applied_revisions(&self) -> Vec<(InstanceId, Revision)> {
+        let Some(instances) = self.witness.instances() else {
+            return Vec::new();
+        };
+        instances
+            .iter()
+            .filter_map(|(life, _)| Some((life.instance.clone(), instances.applied(life)?)))
+            .collect()
+    }
+
     fn push(&mut self, push: &PushConfig) -> Result<response::Kind, WireError> {
         let config = push.config.as_ref();
         let stored = match config.map(|config| self.config.apply(config)) {
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -68,8 +68,9 @@
         Consensus(::prost::alloc::vec::Vec<u8>),
         #[prost(message, tag = "19")]
         WitnessStatus(super::Empty),
+        /// A control replica asks to become a learner; answered with Empty.
         #[prost(bytes, tag = "20")]
-        Submission(::prost::alloc::vec::Vec<u8>),
+        Join(::prost::alloc::vec::Vec<u8>),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/wire/src/payload.rs
+++ b/crates/wire/src/payload.rs
@@ -47,4 +47,6 @@
     pub generation: u64,
     /// Highest revision that it has stored.
     pub revision: Revision,
+    /// Members with the revision that each had applied when it polled last.
+    pub members: Vec<(InstanceId, Revision)>,
 }
