Add the control process

Cause: documents and keys need an owner that survives restarts and the loss of instances. Change: a replica task over the consensus and storage crates, submissions with compare-and-set and results for resends, an operator API, the spread to the witnesses with generations, and the commands found, export and restore.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,16 @@
-//! Control process of the fleet.
+//! Control process of the fleet: keeps documents and keys in a replicated log, serves operators and
+//! spreads the configuration to the witnesses.
+
+pub mod command;
+pub mod diff;
+pub mod disk;
+pub mod distribution;
+pub mod maintenance;
+pub mod operator_api;
+mod parts;
+pub mod peer_handler;
+pub mod replica_task;
+pub mod settings;
+pub mod submissions;
+
+pub use settings::ControlSettings;
--- /dev/null
+++ b/crates/control/src/maintenance.rs
@@ -0,0 +1,99 @@
+//! Commands on the data directory of a stopped control instance: found, export, restore.
+
+use std::path::Path;
+use std::sync::Arc;
+
+use anyhow::{Context as _, Result, bail};
+use radishpaddle_consensus::{Payload, PersistedState, ReplicaId};
+use radishpaddle_kernel::settings;
+use radishpaddle_model::Revision;
+use radishpaddle_storage::{Export, LocalFileSystem, Storage};
+
+use crate::disk;
+use crate::settings::ControlSettings;
+use crate::submissions::{ControlState, LogCommand};
+
+/// Founds a new group in the empty data directory of one control instance.
+///
+/// # Errors
+///
+/// Fails when the settings are not valid or the data directory holds a state.
+pub fn found(settings_file: &Path) -> Result<()> {
+    let settings: ControlSettings = settings::load(settings_file)?;
+    found_in(&settings)?;
+    println!(
+        "founded a control group in {}",
+        settings.data_directory.display()
+    );
+    Ok(())
+}
+
+/// Founds a new group in the empty data directory of the settings.
+///
+/// # Errors
+///
+/// Fails when the data directory holds a state or cannot be written.
+pub fn found_in(settings: &ControlSettings) -> Result<()> {
+    found_from(settings, 0, None)
+}
+
+fn found_from(settings: &ControlSettings, index: u64, data: Option<Arc<[u8]>>) -> Result<()> {
+    let (mut storage, recovered) = Storage::open(&settings.data_directory, disk::new_replica_id())?;
+    let id = ReplicaId(recovered.hard_state.replica_id);
+    let address = settings.peer_address().to_string().into();
+    let state = PersistedState::founding_from(id, address, index, data);
+    let snapshot = state.snapshot.context("a founding state has a snapshot")?;
+    let hard_state = disk::stored_hard_state(&state.hard_state);
+    storage.found(hard_state, disk::stored_snapshot(&snapshot))?;
+    Ok(())
+}
+
+/// Writes the state of a stopped instance to a portable file.
+///
+/// # Errors
+///
+/// Fails when the data directory is in use or damaged, or the file cannot be written.
+pub fn export(settings_file: &Path, file: &Path) -> Result<()> {
+    let settings: ControlSettings = settings::load(settings_file)?;
+    let (_storage, recovered) = Storage::open(&settings.data_directory, disk::new_replica_id())?;
+    if recovered.is_new {
+        bail!("{} holds no state", settings.data_directory.display());
+    }
+    let persisted = disk::persisted_state(&recovered)?;
+    let mut state = ControlState::default();
+    let mut index = 0;
+    if let Some(snapshot) = &persisted.snapshot {
+        state = disk::decode_state(&snapshot.data)?;
+        index = snapshot.meta.index;
+    }
+    // Entries at the end may not be committed; an export for an emergency keeps them.
+    for entry in persisted.entries.iter().filter(|entry| entry.index > index) {
+        if let Payload::Data(bytes) = &entry.payload {
+            state.apply(&serde_json::from_slice::<LogCommand>(bytes)?);
+        }
+    }
+    let index = persisted.entries.last().map_or(index, |entry| entry.index);
+    let data = serde_json::to_vec(&state)?;
+    Export { index, data }.write(Arc::new(LocalFileSystem), file)?;
+    let revision = state.config.revision;
+    println!("exported revision {revision} to {}", file.display());
+    Ok(())
+}
+
+/// Founds a new group from an export. The configuration continues above the given revision.
+///
+/// # Errors
+///
+/// Fails when the file is not an export or the data directory holds a state.
+pub fn restore(settings_file: &Path, file: &Path, above: Revision) -> Result<()> {
+    let settings: ControlSettings = settings::load(settings_file)?;
+    let export = Export::read(Arc::new(LocalFileSystem), file)?;
+    let mut state: ControlState =
+        serde_json::from_slice(&export.data).context("the export holds another kind of state")?;
+    state.continue_above(above);
+    let data: Arc<[u8]> = serde_json::to_vec(&state)?.into();
+    found_from(&settings, export.index, Some(data))?;
+    let revision = state.config.revision;
+    println!("restored as revision {revision}; start the instance now");
+    Ok(())
+}
--- /dev/null
+++ b/crates/control/src/operator_api.rs
@@ -0,0 +1,444 @@
+//! HTTP API for operators.
+
+use std::io::Read as _;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::time::Duration;
+
+use anyhow::{Result, anyhow};
+use radishpaddle_kernel::Journal;
+use radishpaddle_model::{
+    Change, KeyHash, KeyId, OrganisationId, Refusal, ResultCode, Revision, ServiceDocument,
+    ServiceId, SubmissionId,
+};
+use rouille::{Request, Response, Server};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+
+use crate::diff;
+use crate::distribution::SpreadView;
+use crate::replica_task::{ReplicaError, ReplicaHandle};
+use crate::settings::OperatorSettings;
+use crate::submissions::{ControlState, LogCommand, Submission, SubmissionResult};
+
+/// Threads that answer operators. A submission holds one until it is in force.
+const THREADS: usize = 16;
+
+/// Largest document, in bytes; within the limit of one log entry.
+const MAX_DOCUMENT_BYTES: u64 = 200 << 10;
+
+/// Longest wait for a commit.
+const COMMIT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Longest wait until a committed change is in force. Later the answer is 202.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Newest changes that a listing shows.
+const LISTED_CHANGES: usize = 200;
+
+/// Everything that the API needs.
+pub struct OperatorApi {
+    /// Replica of this instance.
+    pub replica: ReplicaHandle,
+    /// Spread of the configuration.
+    pub spread: watch::Receiver<SpreadView>,
+    /// Operators with their tokens.
+    pub operators: Vec<OperatorSettings>,
+    /// Events.
+    pub journal: Journal,
+    /// Runtime of the process.
+    pub runtime: Handle,
+}
+
+/// Handle to the operator API; dropping it stops the server.
+pub struct OperatorServer {
+    address: SocketAddr,
+    stop: mpsc::Sender<()>,
+}
+
+type Answered = Result<Response, Response>;
+
+impl OperatorServer {
+    /// Binds the address and starts to answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub fn bind(address: SocketAddr, api: OperatorApi) -> Result<Self> {
+        let server = Server::new(address, move |request| api.answer(request))
+            .map_err(|error| anyhow!("operator address {address}: {error}"))?
+            .pool_size(THREADS);
+        let address = server.server_addr();
+        let (_thread, stop) = server.stoppable();
+        Ok(Self { address, stop })
+    }
+
+    /// Address that is bound.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for OperatorServer {
+    fn drop(&mut self) {
+        let _ = self.stop.send(());
+    }
+}
+
+/// Body of `POST /v1/keys`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct GiveKey {
+    key_id: KeyId,
+    organisation: OrganisationId,
+    key_hash: KeyHash,
+}
+
+impl OperatorApi {
+    fn answer(&self, request: &Request) -> Response {
+        self.route(request).unwrap_or_else(|refusal| refusal)
+    }
+
+    fn route(&self, request: &Request) -> Answered {
+        let operator = self.authorise(request)?;
+        let url = request.url();
+        let path: Vec<&str> = url.trim_matches('/').split('/').collect();
+        match (request.method(), path.as_slice()) {
+            ("GET", ["v1", "services"]) => Ok(json_page(&list_services(&*self.read()?))),
+            ("GET", ["v1", "services", service]) => self.show_service(service),
+            ("PUT", ["v1", "services", service]) => self.put_service(request, &operator, service),
+            ("POST", ["v1", "services", service, "diff"]) => self.diff_service(request, service),
+            ("DELETE", ["v1", "services", service]) => {
+                let change = Change::RemoveService {
+                    service: parse_id(service)?,
+                };
+                self.submit(request, &operator, change)
+            }
+            ("GET", ["v1", "keys"]) => Ok(json_page(&list_keys(&*self.read()?))),
+            ("POST", ["v1", "keys"]) => {
+                let key: GiveKey = parse_body(request)?;
+                let change = Change::GiveKey {
+                    key_id: key.key_id,
+                    organisation: key.organisation,
+                    hash: key.key_hash,
+                };
+                self.submit(request, &operator, change)
+            }
+            ("DELETE", ["v1", "keys", key_id]) => {
+                let change = Change::WithdrawKey {
+                    key_id: parse_id(key_id)?,
+                };
+                self.submit(request, &operator, change)
+            }
+            ("GET", ["v1", "changes"]) => {
+                let state = self.read()?;
+                let changes: Vec<_> = state.recent_changes().take(LISTED_CHANGES).collect();
+                Ok(json_page(&json!({"changes": changes})))
+            }
+            ("GET", ["v1", "status"]) => Ok(json_page(&self.status())),
+            _ => Err(refusal(ResultCode::NotFound, "no such path")),
+        }
+    }
+
+    fn authorise(&self, request: &Request) -> Result<Arc<str>, Response> {
+        let token = request
+            .header("Authorization")
+            .and_then(|value| value.strip_prefix("Bearer "))
+            .unwrap_or_default();
+        let digest = Sha256::digest(token)
+            .iter()
+            .fold(String::new(), |text, byte| text + &format!("{byte:02x}"));
+        let known =
+            |operator: &&OperatorSettings| operator.token_sha256.eq_ignore_ascii_case(&digest);
+        let operator = self.operators.iter().find(known);
+        operator
+            .map(|operator| Arc::clone(&operator.name))
+            .ok_or_else(|| {
+                let message = "the operator token is missing or wrong";
+                refusal(ResultCode::Unauthorised, message)
+            })
+    }
+
+    /// State that contains every acknowledged change.
+    fn read(&self) -> Result<Arc<ControlState>, Response> {
+        let read = async { tokio::time::timeout(COMMIT_TIMEOUT, self.replica.read()).await };
+        match self.runtime.block_on(read) {
+            Ok(Ok(state)) => Ok(state),
+            Ok(Err(error)) => Err(self.replica_refusal(error)),
+            Err(_) => Err(refusal(
+                ResultCode::NotLeader,
+                "no quorum of control instances answered in time",
+            )),
+        }
+    }
+
+    fn show_service(&self, service: &str) -> Answered {
+        let service: ServiceId = parse_id(service)?;
+        let state = self.read()?;
+        let entry = state.config.services.get(&service);
+        let entry = entry.ok_or_else(|| refusal(ResultCode::NotFound, "no such service"))?;
+        Ok(json_page(&json!(entry)))
+    }
+
+    fn put_service(&self, request: &Request, operator: &str, service: &str) -> Answered {
+        let document = parse_document(request, service)?;
+        let change = Change::PutService {
+            document: Arc::new(document),
+        };
+        self.submit(request, operator, change)
+    }
+
+    fn diff_service(&self, request: &Request, service: &str) -> Answered {
+        let document = parse_document(request, service)?;
+        let state = self.read()?;
+        let current = state.config.services.get(&document.service);
+        let before = current.map_or(Value::Null, |entry| json!(entry.document));
+        let differences = diff::differences(&before, &json!(document));
+        let revision = state.config.service_revision(&document.service);
+        Ok(json_page(
+            &json!({"revision": revision, "differences": differences}),
+        ))
+    }
+
+    fn submit(&self, request: &Request, operator: &str, change: Change) -> Answered {
+        let id: SubmissionId = parse_id(header(request, "X-Submission-Id")?)?;
+        let replaces = match &change {
+            Change::PutService { .. } | Change::RemoveService { .. } => {
+                let text = header(request, "X-Replaces-Revision")?;
+                text.parse().map_err(|_| {
+                    let message = "X-Replaces-Revision is not a number";
+                    refusal(ResultCode::DocumentInvalid, message)
+                })?
+            }
+            Change::GiveKey { .. } | Change::WithdrawKey { .. } => Revision(0),
+        };
+        let submission = Submission {
+            id,
+            operator: operator.into(),
+            replaces,
+            change,
+        };
+        let result = self.commit(submission.clone())?;
+        self.journal.record(
+            "submission",
+            None,
+            Some(submission.id.as_str()),
+            json!({"operator": operator, "result": format!("{result:?}")}),
+        );
+        match (result, result.refusal()) {
+            (SubmissionResult::Accepted(revision), _) => Ok(self.wait_in_force(revision)),
+            (_, Some(code)) => Err(submission_refusal(result, code)),
+            (_, None) => Err(refusal(ResultCode::CommitUnknown, "no result")),
+        }
+    }
+
+    fn commit(&self, submission: Submission) -> Result<SubmissionResult, Response> {
+        let command = LogCommand::Submit(submission);
+        let proposed =
+            async { tokio::time::timeout(COMMIT_TIMEOUT, self.replica.propose(command)).await };
+        match self.runtime.block_on(proposed) {
+            Ok(Ok(Some(result))) => Ok(result),
+            Ok(Ok(None) | Err(ReplicaError::Unknown)) | Err(_) => Err(refusal(
+                ResultCode::CommitUnknown,
+                "the submission may or may not be committed; send it again with the same id",
+            )),
+            Ok(Err(error)) => Err(self.replica_refusal(error)),
+        }
+    }
+
+    fn wait_in_force(&self, revision: Revision) -> Response {
+        let mut spread = self.spread.clone();
+        let in_force = async {
+            spread
+                .wait_for(|view| view.in_force >= revision)
+                .await
+                .is_ok()
+        };
+        let waited = async { tokio::time::timeout(IN_FORCE_TIMEOUT, in_force).await };
+        let reached = self.runtime.block_on(waited).unwrap_or(false);
+        let code = if reached {
+            ResultCode::InForce
+        } else {
+            ResultCode::Committed
+        };
+        let view = self.spread.borrow().clone();
+        let body = json!({
+            "code": code.number(),
+            "name": code.name(),
+            "revision": revision,
+            "spread": spread_of(&view),
+        });
+        with_code(json_page(&body), code)
+    }
+
+    fn status(&self) -> Value {
+        let view = self.replica.view();
+        let members: Vec<Value> = view
+            .membership
+            .members
+            .iter()
+            .map(|(id, member)| {
+                json!({"replica": id.to_string(), "address": member.address,
+                       "role": format!("{:?}", member.role)})
+            })
+            .collect();
+        json!({
+            "replica": view.id.to_string(),
+            "role": format!("{:?}", view.role),
+            "term": view.term,
+            "leader": view.leader,
+            "applied_index": view.applied_index,
+            "revision": view.state.config.revision,
+            "generation": view.state.generation,
+            "storage_works": view.storage_works,
+            "members": members,
+            "spread": spread_of(&self.spread.borrow()),
+        })
+    }
+
+    fn replica_refusal(&self, error: ReplicaError) -> Response {
+        match error {
+            ReplicaError::NotLeader => {
+                let leader = self.replica.view().leader;
+                let message = match &leader {
+                    Some(leader) => {
+                        format!("the leader is the instance with peer address {leader}")
+                    }
+                    None => "there is no leader now".to_owned(),
+                };
+                refusal(ResultCode::NotLeader, &message)
+            }
+            ReplicaError::TooLarge => {
+                refusal(ResultCode::DocumentInvalid, "the submission is too large")
+            }
+            ReplicaError::Busy => refusal(ResultCode::NotLeader, "too many submissions wait"),
+            ReplicaError::Unknown => refusal(ResultCode::CommitUnknown, "leadership was lost"),
+            ReplicaError::StorageFailed => refusal(
+                ResultCode::StorageFailed,
+                "the data directory of this instance cannot be written",
+            ),
+        }
+    }
+}
+
+fn submission_refusal(result: SubmissionResult, code: ResultCode) -> Response {
+    let message = match result {
+        SubmissionResult::RevisionConflict(current) => {
+            format!("the current revision is {current}")
+        }
+        SubmissionResult::KeyExists => "the key id or the key is in use".to_owned(),
+        SubmissionResult::HostTaken => "another service has one of the hosts".to_owned(),
+        SubmissionResult::NotFound => "there is nothing by that name".to_owned(),
+        SubmissionResult::SubmissionIdReused => {
+            "the submission id belongs to a different submission".to_owned()
+        }
+        SubmissionResult::Accepted(_) => String::new(),
+    };
+    refusal(code, &message)
+}
+
+fn spread_of(view: &SpreadView) -> Value {
+    let witnesses: Vec<Value> = view
+        .witnesses
+        .values()
+        .map(|status| {
+            json!({"instance": status.instance, "revision": status.revision,
+                   "generation": status.generation, "recovering": status.recovering})
+        })
+        .collect();
+    let members: Vec<Value> = view
+        .members
+        .iter()
+        .map(|(instance, revision)| json!({"instance": instance, "revision": revision}))
+        .collect();
+    json!({"in_force": view.in_force, "witnesses": witnesses, "members": members})
+}
+
+fn list_services(state: &ControlState) -> Value {
+    let services: Vec<Value> = state
+        .config
+        .services
+        .values()
+        .map(|entry| json!(entry))
+        .collect();
+    json!({"revision": state.config.revision, "services": services})
+}
+
+fn list_keys(state: &ControlState) -> Value {
+    let keys: Vec<Value> = state
+        .config
+        .keys
+        .iter()
+        .map(|(hash, key)| {
+            json!({"key_id": key.key_id, "organisation": key.organisation,
+                   "hash_prefix": hash.prefix()})
+        })
+        .collect();
+    json!({"revision": state.config.revision, "keys": keys})
+}
+
+fn parse_document(request: &Request, service: &str) -> Result<ServiceDocument, Response> {
+    let document: ServiceDocument = parse_body(request)?;
+    if document.service.as_str() != service {
+        let message = format!(
+            "service is {:?}; allowed: the service of the path, {service:?}",
+            document.service.as_str()
+        );
+        return Err(refusal(ResultCode::DocumentInvalid, &message));
+    }
+    document.check().map_err(|errors| {
+        let problems: Vec<String> = errors.iter().map(ToString::to_string).collect();
+        refusal(ResultCode::DocumentInvalid, &problems.join("; "))
+    })?;
+    Ok(document)
+}
+
+fn parse_body<T: for<'a> Deserialize<'a>>(request: &Request) -> Result<T, Response> {
+    let mut text = String::new();
+    let read = request
+        .data()
+        .map(|body| body.take(MAX_DOCUMENT_BYTES + 1).read_to_string(&mut text));
+    let invalid = |message: &str| refusal(ResultCode::DocumentInvalid, message);
+    match read {
+        Some(Ok(_)) if text.len() as u64 > MAX_DOCUMENT_BYTES => {
+            Err(invalid("the body is larger than 200 KiB"))
+        }
+        Some(Ok(_)) => {
+            let mut deserializer = serde_json::Deserializer::from_str(&text);
+            serde_path_to_error::deserialize(&mut deserializer)
+                .map_err(|error| invalid(&format!("{}: {}", error.path(), error.inner())))
+        }
+        _ => Err(invalid("the body cannot be read as text")),
+    }
+}
+
+fn parse_id<T: std::str::FromStr<Err: std::fmt::Display>>(text: &str) -> Result<T, Response> {
+    text.parse()
+        .map_err(|error: T::Err| refusal(ResultCode::DocumentInvalid, &error.to_string()))
+}
+
+fn header<'a>(request: &'a Request, name: &str) -> Result<&'a str, Response> {
+    request.header(name).ok_or_else(|| {
+        let message = format!("the header {name} is missing");
+        refusal(ResultCode::DocumentInvalid, &message)
+    })
+}
+
+fn json_page(value: &Value) -> Response {
+    Response::from_data("application/json", format!("{value:#}\n"))
+}
+
+fn refusal(code: ResultCode, message: &str) -> Response {
+    with_code(json_page(&json!(Refusal::new(code, message))), code)
+}
+
+fn with_code(response: Response, code: ResultCode) -> Response {
+    response
+        .with_status_code(code.http_status())
+        .with_additional_header("X-Result-Code", code.number().to_string())
+}
--- /dev/null
+++ b/crates/control/src/parts.rs
@@ -0,0 +1,142 @@
+//! The parts of a control process, registered with the kernel.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context as _, Result};
+use radishpaddle_consensus::Role;
+use radishpaddle_kernel::admin::{AdminServer, Readiness};
+use radishpaddle_kernel::plugin::PluginFuture;
+use radishpaddle_kernel::{Context, Plugin, Program, Running, inventory};
+use radishpaddle_wire::message::Hello;
+use radishpaddle_wire::{
+    ClientIdentity, PROTOCOL_VERSION, PeerSecurity, PeerServer, ServerIdentity, TlsFiles,
+};
+use tokio::sync::watch;
+
+use crate::distribution::{self, SpreadView};
+use crate::operator_api::{OperatorApi, OperatorServer};
+use crate::peer_handler::ControlPeerHandler;
+use crate::replica_task::ReplicaHandle;
+use crate::settings::ControlSettings;
+
+inventory::submit! { Plugin { program: Program::Control, name: "admin", order: 0, start: |context| admin(context) } }
+inventory::submit! { Plugin { program: Program::Control, name: "replica", order: 10, start: |context| replica(context) } }
+inventory::submit! { Plugin { program: Program::Control, name: "peers", order: 20, start: |context| peers(context) } }
+inventory::submit! { Plugin { program: Program::Control, name: "distribution", order: 30, start: |context| distribution(context) } }
+inventory::submit! { Plugin { program: Program::Control, name: "operators", order: 40, start: |context| operators(context) } }
+
+/// Time for which a leader that stops waits for another one.
+const HAND_OVER: Duration = Duration::from_secs(1);
+
+fn admin(context: Arc<Context>) -> PluginFuture<Result<Running>> {
+    Box::pin(async move {
+        let settings = context.get::<ControlSettings>()?;
+        let nothing = Box::new(|_: &rouille::Request| None);
+        let server = AdminServer::bind(settings.common.admin_listen, &context, nothing)?;
+        Ok(Running::holding(server))
+    })
+}
+
+fn replica(context: Arc<Context>) -> PluginFuture<Result<Running>> {
+    Box::pin(async move {
+        let settings = context.get::<ControlSettings>()?;
+        let replica = ReplicaHandle::open(&settings, identity(&context, &settings)?)?;
+        context.provide(Arc::new(replica.clone()));
+        tokio::spawn(follow_readiness(
+            replica.watch(),
+            context.get::<Readiness>()?,
+        ));
+        Ok(Running::new(move |deadline| async move {
+            replica.step_down().await;
+            let mut view = replica.watch();
+            let handed_over = view.wait_for(|view| view.role != Role::Leader);
+            let until = deadline.min(tokio::time::Instant::now() + HAND_OVER);
+            let _ = tokio::time::timeout_at(until, handed_over).await;
+        }))
+    })
+}
+
+/// Ready means that a leader is known and the disk works.
+async fn follow_readiness(
+    mut view: watch::Receiver<crate::replica_task::ReplicaView>,
+    readiness: Arc<Readiness>,
+) {
+    loop {
+        {
+            let view = view.borrow_and_update();
+            readiness.set(view.storage_works && view.leader.is_some());
+        }
+        if view.changed().await.is_err() {
+            readiness.set(false);
+            return;
+        }
+    }
+}
+
+fn peers(context: Arc<Context>) -> PluginFuture<Result<Running>> {
+    Box::pin(async move {
+        let settings = context.get::<ControlSettings>()?;
+        let handler = ControlPeerHandler {
+            replica: ReplicaHandle::clone(&*context.get::<ReplicaHandle>()?),
+        };
+        let client = identity(&context, &settings)?;
+        let identity = ServerIdentity {
+            hello: client.hello,
+            security: client.security,
+        };
+        let address = settings.peer_listen;
+        let server = PeerServer::bind(address, identity, Arc::new(handler))
+            .await
+            .with_context(|| format!("peer address {address}"))?;
+        Ok(Running::holding(server))
+    })
+}
+
+fn distribution(context: Arc<Context>) -> PluginFuture<Result<Running>> {
+    Box::pin(async move {
+        let settings = context.get::<ControlSettings>()?;
+        let replica = ReplicaHandle::clone(&*context.get::<ReplicaHandle>()?);
+        let identity = identity(&context, &settings)?;
+        let view = distribution::spawn(&settings, &identity, replica);
+        context.provide(Arc::new(view));
+        Ok(Running::holding(()))
+    })
+}
+
+fn operators(context: Arc<Context>) -> PluginFuture<Result<Running>> {
+    Box::pin(async move {
+        let settings = context.get::<ControlSettings>()?;
+        let spread = context.get::<watch::Receiver<SpreadView>>()?;
+        let api = OperatorApi {
+            replica: ReplicaHandle::clone(&*context.get::<ReplicaHandle>()?),
+            spread: watch::Receiver::clone(&*spread),
+            operators: settings.operators.clone(),
+            journal: context.journal.clone(),
+            runtime: tokio::runtime::Handle::current(),
+        };
+        let server = OperatorServer::bind(settings.operator_listen, api)?;
+        log::info!("control: operators are served at {}", server.address());
+        Ok(Running::holding(server))
+    })
+}
+
+fn identity(context: &Context, settings: &ControlSettings) -> Result<ClientIdentity> {
+    let security = match &settings.common.peer_tls {
+        None => PeerSecurity::Plain,
+        Some(files) => PeerSecurity::load(&TlsFiles {
+            authority: files.authority.clone(),
+            certificate: files.certificate.clone(),
+            private_key: files.private_key.clone(),
+        })?,
+    };
+    Ok(ClientIdentity {
+        hello: Hello {
+            fleet: settings.common.fleet.to_string(),
+            instance: context.instance.to_string(),
+            incarnation: context.incarnation.0,
+            protocol_version: PROTOCOL_VERSION,
+        },
+        security,
+    })
+}
--- /dev/null
+++ b/crates/control/src/peer_handler.rs
@@ -0,0 +1,38 @@
+//! Answers the requests of other processes of the fleet.
+
+use radishpaddle_consensus::{Message, ReplicaId};
+use radishpaddle_wire::message::{Empty, failure, request, response};
+use radishpaddle_wire::{PeerHandler, PeerIdentity, decode, failure as refusal};
+
+use crate::replica_task::ReplicaHandle;
+
+/// Passes consensus messages and joins to the replica.
+pub struct ControlPeerHandler {
+    /// Replica of this instance.
+    pub replica: ReplicaHandle,
+}
+
+impl PeerHandler for ControlPeerHandler {
+    async fn handle(&self, _peer: PeerIdentity, request: request::Kind) -> response::Kind {
+        match request {
+            request::Kind::Consensus(bytes) => match Message::decode(&bytes) {
+                Ok(message) => {
+                    self.replica.receive(message).await;
+                    response::Kind::Empty(Empty {})
+                }
+                Err(error) => refusal(failure::Reason::Malformed, error.to_string()),
+            },
+            request::Kind::Join(bytes) => match decode::<(u64, String)>(&bytes) {
+                Ok((id, address)) => {
+                    self.replica.join(ReplicaId(id), address.into()).await;
+                    response::Kind::Empty(Empty {})
+                }
+                Err(error) => refusal(failure::Reason::Malformed, error.to_string()),
+            },
+            _ => refusal(
+                failure::Reason::Unsupported,
+                "a control instance does not answer this request",
+            ),
+        }
+    }
+}
