Add the sample backend server and the fault proxy to testkit

Cause: process tests and the development fleet need backend servers with gray failures, and network faults per direction, that can be changed while they run.

Change: backend runs requests in slots, announces itself, drains, leaves, crashes and restarts with a higher incarnation, and records each execution. fault_proxy delays, limits, loses, cuts, resets and refuses per direction. Both have a handle, a binary and an HTTP control port.

Conclusion: excess bytes behind a declared length need a wrapper below hyper, which never sends more than it declares.

--- /dev/null
+++ b/crates/testkit/src/backend/control.rs
@@ -0,0 +1,62 @@
+//! HTTP control port of a sample backend server.
+//!
+//! | Request | Meaning |
+//! |---|---|
+//! | `GET /status` | [`super::BackendStatus`] |
+//! | `GET /faults`, `PUT /faults` | [`super::FaultPlan`] |
+//! | `POST /entries` | JSON array of entry instances' backend ports |
+//! | `POST /drain`, `POST /leave` | announces to every entry instance |
+//! | `POST /crash` | crashes; restarts when the plan has `restart_after_ms` |
+//! | `GET /executions`, `DELETE /executions` | JSON array of [`super::Execution`] |
+
+use std::sync::Arc;
+
+use hyper::{Method, StatusCode};
+use radishpaddle_model::BackendState;
+use serde::Serialize;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use super::announce::announce_to_all;
+use super::shared::Shared;
+use crate::control_port::{self, Reply};
+
+pub(super) async fn run(shared: Arc<Shared>, listener: TcpListener, stop: CancellationToken) {
+    let handler = move |method: Method, path: String, body: Vec<u8>| {
+        let shared = Arc::clone(&shared);
+        async move { handle(&shared, &method, &path, &body).await }
+    };
+    control_port::run(listener, stop, handler).await;
+}
+
+async fn handle(shared: &Arc<Shared>, method: &Method, path: &str, body: &[u8]) -> Reply {
+    match (method.as_str(), path) {
+        ("GET", "/status") => ok(&shared.status()),
+        ("GET", "/faults") => ok(&shared.faults()),
+        ("PUT", "/faults") => control_port::accept(body, |plan| shared.set_faults(plan)),
+        ("POST", "/entries") => control_port::accept(body, |list| shared.set_entries(list)),
+        ("POST", "/drain") => advance(shared, BackendState::Draining).await,
+        ("POST", "/leave") => advance(shared, BackendState::Left).await,
+        ("POST", "/crash") => {
+            shared.crash(shared.faults().restart_after_ms);
+            ok(&shared.status())
+        }
+        ("GET", "/executions") => ok(&shared.recorder.executions()),
+        ("DELETE", "/executions") => {
+            shared.recorder.clear();
+            ok(&shared.status())
+        }
+        _ => control_port::not_found(),
+    }
+}
+
+async fn advance(shared: &Arc<Shared>, state: BackendState) -> Reply {
+    shared.advance(state);
+    let accepted = announce_to_all(shared).await;
+    ok(&json!({"accepted": accepted}))
+}
+
+fn ok(value: &impl Serialize) -> Reply {
+    control_port::json(StatusCode::OK, value)
+}
--- /dev/null
+++ b/crates/testkit/src/bin/radishpaddle-sample-backend.rs
@@ -0,0 +1,109 @@
+//! Sample backend server for tests with real processes.
+
+use std::net::SocketAddr;
+
+use anyhow::{Context, Result};
+use lexopt::prelude::*;
+use radishpaddle_model::{BackendServerId, Incarnation, ServiceId};
+use radishpaddle_testkit::backend::{self, BackendSettings};
+
+const HELP: &str = "\
+Usage: radishpaddle-sample-backend --service NAME --name NAME [options]
+
+Options:
+  --listen ADDRESS          request port [127.0.0.1:0]
+  --announce-address ADDR   address to announce instead of the bound one
+  --control ADDRESS         HTTP control port [none]
+  --zone NAME               availability zone [zone-a]
+  --incarnation NUMBER      first incarnation [1]
+  --slots NUMBER            requests that run at the same time [6]
+  --queue-limit NUMBER      waiting requests above which new ones are shed [none]
+  --entry ADDRESS           backend port of an entry instance, repeatable
+  --token TEXT              bearer token for announcements
+  --announce-period-ms N    time between two announcements [2000]
+  --service-time-ms NUMBER  mean service time [5]
+  --faults JSON             faults from the start
+  --seed NUMBER             seed for service times and fault shares [1]
+
+On SIGTERM it drains, finishes its requests, leaves and exits.";
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let Some(settings) = parse(lexopt::Parser::from_env())? else {
+        println!("{HELP}");
+        return Ok(());
+    };
+    let backend = backend::spawn(settings).await?;
+    println!("sample-backend: listening on {}", backend.address());
+    if let Some(address) = backend.control_address() {
+        println!("sample-backend: control port on {address}");
+    }
+    wait_for_signal().await?;
+    stop(backend).await;
+    Ok(())
+}
+
+fn parse(mut parser: lexopt::Parser) -> Result<Option<BackendSettings>> {
+    let mut service: Option<ServiceId> = None;
+    let mut name: Option<BackendServerId> = None;
+    let mut settings =
+        BackendSettings::new("unnamed".parse()?, "unnamed".parse()?, "zone-a".parse()?);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("service") => service = Some(parser.value()?.parse()?),
+            Long("name") => name = Some(parser.value()?.parse()?),
+            Long("help") | Short('h') => return Ok(None),
+            Long(option) => {
+                let option = option.to_owned();
+                let value = parser.value()?.string()?;
+                set(&mut settings, &option, &value)
+                    .with_context(|| format!("--{option} {value}"))?;
+            }
+            _ => return Err(argument.unexpected().into()),
+        }
+    }
+    settings.service = service.context("--service is missing")?;
+    settings.backend_server = name.context("--name is missing")?;
+    Ok(Some(settings))
+}
+
+fn set(settings: &mut BackendSettings, option: &str, value: &str) -> Result<()> {
+    match option {
+        "listen" => settings.listen = value.parse()?,
+        "announce-address" => settings.announced_address = Some(value.parse()?),
+        "control" => settings.control = Some(value.parse::<SocketAddr>()?),
+        "zone" => settings.availability_zone = value.parse()?,
+        "incarnation" => settings.incarnation = Incarnation(value.parse()?),
+        "slots" => settings.slots = value.parse()?,
+        "queue-limit" => settings.queue_limit = Some(value.parse()?),
+        "entry" => settings.entries.push(value.parse()?),
+        "token" => value.clone_into(&mut settings.token),
+        "announce-period-ms" => settings.announce_period_ms = value.parse()?,
+        "service-time-ms" => settings.service_time_ms = value.parse()?,
+        "faults" => settings.faults = serde_json::from_str(value)?,
+        "seed" => settings.seed = value.parse()?,
+        _ => anyhow::bail!("unknown option"),
+    }
+    Ok(())
+}
+
+async fn wait_for_signal() -> Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+async fn stop(backend: backend::RunningBackend) {
+    backend.drain().await;
+    while backend.status().in_flight + backend.status().waiting > 0 {
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    backend.leave().await;
+    backend.stop().await;
+}
--- /dev/null
+++ b/crates/testkit/src/http.rs
@@ -0,0 +1,74 @@
+//! Small HTTP client for announcements, control ports and callers: one connection per value, never retries.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::{Context, Result, bail};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// Largest response body that [`call`] accepts, in bytes.
+const MAX_RESPONSE_BYTES: usize = 64 << 20;
+
+/// Client side of one HTTP/1.1 connection.
+pub type Connection = SendRequest<Full<Bytes>>;
+
+/// Opens a connection. Its driver task ends when the returned value is dropped or the peer closes.
+///
+/// # Errors
+///
+/// Returns an error when the TCP connection or the HTTP handshake fails.
+pub async fn connect(address: SocketAddr) -> Result<Connection> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(connection);
+    Ok(sender)
+}
+
+/// Sends one JSON request with a bearer token and returns status and body.
+///
+/// # Errors
+///
+/// Returns an error when the connection fails, the response is cut, or `timeout` has passed.
+pub async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    token: Option<&str>,
+    body: Bytes,
+    timeout: Duration,
+) -> Result<(StatusCode, Bytes)> {
+    let mut request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", address.to_string())
+        .header("content-type", "application/json");
+    if let Some(token) = token {
+        request = request.header("authorization", format!("Bearer {token}"));
+    }
+    let request = request.body(Full::new(body))?;
+    let exchange = async {
+        let mut connection = connect(address).await?;
+        let response = connection.send_request(request).await?;
+        read(response).await
+    };
+    match tokio::time::timeout(timeout, exchange).await {
+        Ok(result) => result.with_context(|| format!("request to {address}{path}")),
+        Err(_) => bail!("no response from {address}{path} within {timeout:?}"),
+    }
+}
+
+async fn read(response: Response<Incoming>) -> Result<(StatusCode, Bytes)> {
+    let status = response.status();
+    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+    match body.collect().await {
+        Ok(collected) => Ok((status, collected.to_bytes())),
+        Err(error) => bail!("the response body is incomplete: {error}"),
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,1 +1,7 @@
-//! Fault-injecting proxy, sample backend server and history checker.
+//! Sample backend server, fault-injecting TCP proxy, caller, history checker and process control for tests.
+
+pub mod backend;
+pub mod clock;
+mod control_port;
+pub mod fault_proxy;
+pub mod http;
--- /dev/null
+++ b/crates/testkit/tests/backend.rs
@@ -0,0 +1,359 @@
+//! The sample backend server injects the faults that tests rely on, and records what it ran.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, StatusCode};
+use radishpaddle_model::{Announcement, BackendState};
+use radishpaddle_testkit::backend::{
+    self, BackendSettings, BackendStatus, FaultPlan, RunningBackend, digest,
+};
+use radishpaddle_testkit::http;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+fn settings() -> BackendSettings {
+    let ids = ("dispatch".parse(), "d-1".parse(), "zone-a".parse());
+    let mut settings = BackendSettings::new(ids.0.unwrap(), ids.1.unwrap(), ids.2.unwrap());
+    settings.service_time_ms = 1.0;
+    settings
+}
+
+async fn start(faults: FaultPlan) -> RunningBackend {
+    let mut settings = settings();
+    settings.faults = faults;
+    backend::spawn(settings).await.unwrap()
+}
+
+async fn send(address: SocketAddr, body: &'static str) -> anyhow::Result<(StatusCode, Bytes)> {
+    let request = Request::post("/jobs?x=1")
+        .header("host", "dispatch")
+        .header("X-Test-Operation", "op-1/1")
+        .header("X-Request-Id", "r-1")
+        .body(Full::new(Bytes::from_static(body.as_bytes())))?;
+    let response = http::connect(address).await?.send_request(request).await?;
+    let status = response.status();
+    Ok((status, response.into_body().collect().await?.to_bytes()))
+}
+
+/// Raw bytes that the server sends until it closes, or until nothing comes for 200 ms.
+async fn raw_exchange(address: SocketAddr) -> (Vec<u8>, bool) {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = b"GET /raw HTTP/1.1\r\nhost: a\r\n\r\n";
+    stream.write_all(request).await.unwrap();
+    let mut received = Vec::new();
+    let mut chunk = [0; 4096];
+    loop {
+        let read = tokio::time::timeout(Duration::from_millis(200), stream.read(&mut chunk));
+        match read.await {
+            Ok(Ok(0) | Err(_)) => return (received, true),
+            Ok(Ok(count)) => received.extend_from_slice(&chunk[..count]),
+            Err(_) => return (received, false),
+        }
+    }
+}
+
+fn split_body(raw: &[u8]) -> (String, Vec<u8>) {
+    let end = raw.windows(4).position(|part| part == b"\r\n\r\n").unwrap();
+    let head = String::from_utf8(raw[..end].to_vec()).unwrap();
+    (head, raw[end + 4..].to_vec())
+}
+
+fn declared_length(head: &str) -> usize {
+    let line = head.lines().find(|line| line.starts_with("content-length"));
+    line.unwrap().split(": ").nth(1).unwrap().parse().unwrap()
+}
+
+/// Guards against a recorder that loses what the checker needs.
+#[tokio::test]
+async fn execution_is_recorded_with_headers_body_and_digest() {
+    let server = start(FaultPlan::default()).await;
+
+    let (status, body) = send(server.address(), "payload").await.unwrap();
+
+    let executions = server.executions();
+    assert_eq!((status, executions.len()), (StatusCode::OK, 1));
+    let execution = &executions[0];
+    assert_eq!(execution.operation.as_deref(), Some("op-1/1"));
+    assert_eq!(execution.request_id.as_deref(), Some("r-1"));
+    assert_eq!(
+        (execution.method.as_str(), execution.path.as_str()),
+        ("POST", "/jobs?x=1")
+    );
+    assert_eq!(execution.body, "payload");
+    assert!(
+        execution
+            .headers
+            .contains(&("host".into(), "dispatch".into()))
+    );
+    assert_eq!(
+        execution.answer_digest.as_deref(),
+        Some(digest(&body).as_str())
+    );
+    assert!(execution.end_us.unwrap() >= execution.start_us + 800);
+    assert!(!execution.cancelled);
+}
+
+/// Guards against a truncation that arrives as a complete response.
+#[tokio::test]
+async fn truncated_body_ends_early_with_and_without_length() {
+    for chunked in [false, true] {
+        let plan = FaultPlan {
+            truncate_after_bytes: Some(10),
+            chunked,
+            ..FaultPlan::default()
+        };
+        let server = start(plan).await;
+
+        let result = send(server.address(), "").await;
+        let (raw, closed) = raw_exchange(server.address()).await;
+
+        assert!(result.is_err(), "chunked {chunked}");
+        let (head, body) = split_body(&raw);
+        assert!(
+            closed && body.len() >= 10 && body.len() < 30,
+            "{head} {body:?}"
+        );
+    }
+}
+
+/// Guards against a length fault that never reaches the wire.
+#[tokio::test]
+async fn content_length_differs_from_the_body_in_both_directions() {
+    let longer = FaultPlan {
+        length_error_bytes: 7,
+        ..FaultPlan::default()
+    };
+    let shorter = FaultPlan {
+        length_error_bytes: -7,
+        ..FaultPlan::default()
+    };
+    let server = start(longer).await;
+
+    let (raw, closed) = raw_exchange(server.address()).await;
+    let (head, body) = split_body(&raw);
+    assert!(closed);
+    assert_eq!(declared_length(&head), body.len() + 7);
+
+    server.set_faults(shorter);
+    let (raw, closed) = raw_exchange(server.address()).await;
+    let (head, body) = split_body(&raw);
+    assert!(!closed);
+    assert_eq!(declared_length(&head) + 7, body.len());
+    assert!(body.ends_with(b"#######"));
+}
+
+/// Guards against a hang that closes the connection, and against a cancellation that is not seen.
+#[tokio::test]
+async fn hang_sends_one_byte_and_records_the_cancellation() {
+    let plan = FaultPlan {
+        hang_after_first_byte: true,
+        ..FaultPlan::default()
+    };
+    let server = start(plan).await;
+
+    let (raw, closed) = raw_exchange(server.address()).await;
+
+    assert!(!closed);
+    assert_eq!(split_body(&raw).1, b"{");
+    wait_until(&server, |status| status.in_flight == 0).await;
+    assert!(server.executions()[0].cancelled);
+}
+
+/// Guards against errors and sheds that the history counts wrongly: an error ran, a shed did not.
+#[tokio::test]
+async fn error_runs_and_shed_does_not() {
+    let server = start(FaultPlan {
+        error_share: 1.0,
+        ..FaultPlan::default()
+    })
+    .await;
+
+    let (error, _) = send(server.address(), "").await.unwrap();
+    server.set_faults(FaultPlan {
+        shed_share: 1.0,
+        ..FaultPlan::default()
+    });
+    let (shed, _) = send(server.address(), "").await.unwrap();
+
+    assert_eq!(error, StatusCode::INTERNAL_SERVER_ERROR);
+    assert_eq!(shed, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!((server.executions().len(), server.status().shed), (1, 1));
+}
+
+/// Guards against a late answer that still meets its deadline.
+#[tokio::test]
+async fn answer_comes_after_the_deadline() {
+    let plan = FaultPlan {
+        answer_after_deadline: true,
+        ..FaultPlan::default()
+    };
+    let server = start(plan).await;
+    let request = Request::get("/")
+        .header("X-Deadline-Ms", "100")
+        .body(Full::new(Bytes::new()))
+        .unwrap();
+    let mut connection = http::connect(server.address()).await.unwrap();
+    let start = std::time::Instant::now();
+
+    connection.send_request(request).await.unwrap();
+
+    assert!(
+        start.elapsed() >= Duration::from_millis(150),
+        "{:?}",
+        start.elapsed()
+    );
+}
+
+/// Guards against a crash that leaves connections or the port open, or restarts unnoticed.
+#[tokio::test]
+async fn crash_marker_drops_connections_and_restarts_with_a_higher_incarnation() {
+    let plan = FaultPlan {
+        crash_marker: Some("poison".into()),
+        restart_after_ms: Some(300),
+        ..FaultPlan::default()
+    };
+    let server = start(plan).await;
+    let mut other = TcpStream::connect(server.address()).await.unwrap();
+
+    let result = send(server.address(), "some poison here").await;
+
+    assert!(result.is_err());
+    assert_eq!(other.read(&mut [0]).await.unwrap_or(0), 0);
+    wait_until(&server, |status| !status.up).await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert!(TcpStream::connect(server.address()).await.is_err());
+    wait_until(&server, |status| status.up).await;
+    assert_eq!(server.incarnation().0, 2);
+    assert!(send(server.address(), "harmless").await.is_ok());
+    assert!(server.executions()[0].cancelled);
+}
+
+/// Guards against probes that reveal a fault: the fleet has to detect it from real requests.
+#[tokio::test]
+async fn health_and_load_report_healthy_under_faults() {
+    let plan = FaultPlan {
+        error_share: 1.0,
+        shed_share: 1.0,
+        ..FaultPlan::default()
+    };
+    let server = start(plan).await;
+
+    for path in ["/health", "/load"] {
+        let none = Bytes::new();
+        let reply = http::call(server.address(), Method::GET, path, None, none, TIMEOUT);
+        let (status, body) = reply.await.unwrap();
+
+        let value: serde_json::Value = serde_json::from_slice(&body).unwrap();
+        assert_eq!((status, &value["healthy"]), (StatusCode::OK, &true.into()));
+    }
+}
+
+/// Guards against a backend server that runs new work after its drain.
+#[tokio::test]
+async fn drain_refuses_new_work_and_counts_it() {
+    let server = start(FaultPlan::default()).await;
+
+    server.drain().await;
+    let (status, _) = send(server.address(), "").await.unwrap();
+
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(server.status().arrived_after_drain, 1);
+    assert!(server.executions().is_empty());
+}
+
+/// Guards against announcements that entry instances cannot read, and against a silent drain.
+#[tokio::test]
+async fn announcements_are_renewed_and_carry_the_state() {
+    let entry = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut settings = settings();
+    settings.entries = vec![entry.local_addr().unwrap()];
+    settings.token = "secret".into();
+    settings.announce_period_ms = 20;
+    let server = backend::spawn(settings).await.unwrap();
+
+    let (path, first) = receive_announcement(&entry).await;
+    let (_, second) = receive_announcement(&entry).await;
+    assert_eq!(path, "/v1/backend-servers/announce");
+    assert_eq!(
+        (first.address, first.state),
+        (server.address(), BackendState::Serving)
+    );
+    assert!(second.version() > first.version());
+
+    let drained = tokio::spawn(async move { (server.drain().await, server) });
+    let (path, third) = loop {
+        let (path, announcement) = receive_announcement(&entry).await;
+        if announcement.state != BackendState::Serving {
+            break (path, announcement);
+        }
+    };
+    assert_eq!(
+        (path.as_str(), third.state),
+        ("/v1/backend-servers/drain", BackendState::Draining)
+    );
+    assert_eq!(drained.await.unwrap().0, 1);
+}
+
+async fn receive_announcement(entry: &TcpListener) -> (String, Announcement) {
+    let (mut stream, _) = entry.accept().await.unwrap();
+    let mut received = Vec::new();
+    loop {
+        let mut chunk = [0; 2048];
+        let count = stream.read(&mut chunk).await.unwrap();
+        received.extend_from_slice(&chunk[..count]);
+        let text = String::from_utf8_lossy(&received).into_owned();
+        let Some((head, body)) = text.split_once("\r\n\r\n") else {
+            continue;
+        };
+        let Ok(announcement) = serde_json::from_str(body) else {
+            continue;
+        };
+        assert!(head.contains("authorization: Bearer secret"), "{head}");
+        let reply = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+        stream.write_all(reply).await.unwrap();
+        return (head.split(' ').nth(1).unwrap().to_owned(), announcement);
+    }
+}
+
+/// Guards against a control port that cannot change faults in a separate process.
+#[tokio::test]
+async fn control_port_changes_faults_and_shows_executions() {
+    let mut settings = settings();
+    settings.control = Some(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let server = backend::spawn(settings).await.unwrap();
+    let control = server.control_address().unwrap();
+    let put = |body: &'static str| {
+        let body = Bytes::from_static(body.as_bytes());
+        http::call(control, Method::PUT, "/faults", None, body, TIMEOUT)
+    };
+
+    let (accepted, _) = put(r#"{"error_share":1.0}"#).await.unwrap();
+    let (refused, _) = put(r#"{"unknown":1}"#).await.unwrap();
+    let (status, _) = send(server.address(), "").await.unwrap();
+
+    assert_eq!(
+        (accepted, refused),
+        (StatusCode::OK, StatusCode::UNPROCESSABLE_ENTITY)
+    );
+    assert_eq!(status, StatusCode::INTERNAL_SERVER_ERROR);
+    let none = Bytes::new();
+    let reply = http::call(control, Method::GET, "/executions", None, none, TIMEOUT);
+    let list: Vec<backend::Execution> = serde_json::from_slice(&reply.await.unwrap().1).unwrap();
+    assert_eq!(list, server.executions());
+}
+
+async fn wait_until(server: &RunningBackend, reached: impl Fn(&BackendStatus) -> bool) {
+    let wait = async {
+        while !reached(&server.status()) {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(TIMEOUT, wait)
+        .await
+        .expect("the state is reached");
+}
