--- a/crates/testkit/src/caller/addresses.rs
+++ b/crates/testkit/src/caller/addresses.rs
@@ -11,6 +11,7 @@
 use hyper::{Request, StatusCode};
 use serde::Deserialize;
 
+use super::CallerSettings;
 use crate::http;
 
 /// Where every entry instance answers with addresses.
@@ -67,6 +68,7 @@
 pub(super) struct Addresses {
     seeds: Vec<SocketAddr>,
     ask_timeout: Duration,
+    loopback_only: bool,
     cache: Mutex<Cache>,
 }
 
@@ -79,10 +81,11 @@
 }
 
 impl Addresses {
-    pub(super) fn new(seeds: Vec<SocketAddr>, ask_timeout_ms: u64) -> Self {
+    pub(super) fn new(settings: &CallerSettings) -> Self {
         Self {
-            seeds,
-            ask_timeout: Duration::from_millis(ask_timeout_ms),
+            seeds: settings.seeds.clone(),
+            ask_timeout: Duration::from_millis(settings.ask_timeout_ms),
+            loopback_only: settings.loopback_only,
             cache: Mutex::default(),
         }
     }
@@ -93,6 +96,13 @@
             return Ok(address);
         }
         let answer = self.ask_any(key, host).await?;
+        let remote = answer
+            .addresses
+            .iter()
+            .find(|address| !address.ip().is_loopback());
+        if let (true, Some(address)) = (self.loopback_only, remote) {
+            bail!("{address} is not a loopback address");
+        }
         let until = Instant::now() + Duration::from_millis(answer.lifetime_ms);
         let first = answer.addresses[0];
         let mut cache = self.lock();
--- a/crates/testkit/src/caller/mod.rs
+++ b/crates/testkit/src/caller/mod.rs
@@ -9,8 +9,9 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Result;
-use bytes::Bytes;
+pub use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
+pub use hyper::Method;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use radishpaddle_model::{OrganisationId, Outcome, Refusal, ResultCode};
@@ -45,6 +46,8 @@
     pub keep_alive_ms: u64,
     /// Longest time for an address request, in milliseconds.
     pub ask_timeout_ms: u64,
+    /// Refuses address responses that name an address outside the loopback network.
+    pub loopback_only: bool,
 }
 
 /// A caller of the fleet. It may run any number of operations at the same time.
@@ -67,6 +70,7 @@
             max_attempts: 3,
             keep_alive_ms: 5_000,
             ask_timeout_ms: 1_000,
+            loopback_only: false,
         }
     }
 
@@ -84,7 +88,7 @@
     #[must_use]
     pub fn new(settings: CallerSettings, recorder: Option<Recorder>) -> Self {
         Self {
-            addresses: Addresses::new(settings.seeds.clone(), settings.ask_timeout_ms),
+            addresses: Addresses::new(&settings),
             pool: Pool::new(Duration::from_millis(settings.keep_alive_ms)),
             settings,
             recorder,
