Add the service-level burn report

Cause: the users weigh wrongful refusals and the worst-served organisation, which metrics of single instances do not show.

Before: no report.

--- /dev/null
+++ b/crates/report/src/main.rs
@@ -0,0 +1,7 @@
+//! Service-level burn report.
+
+use anyhow::Result;
+
+fn main() -> Result<()> {
+    radishpaddle_report::cli::run(lexopt::Parser::from_env())
+}
--- /dev/null
+++ b/crates/report/src/time.rs
@@ -0,0 +1,43 @@
+//! Times of day and spans as text.
+
+const MS_PER_DAY: u64 = 86_400_000;
+
+/// Last time that is shown as a date: the end of the year 9999.
+const MAX_UNIX_MS: u64 = 253_402_300_799_999;
+
+/// UTC date and time in seconds, from milliseconds since 1970. Times after the year 9999 are shown as its
+/// end. The computation of the date follows Hinnant, "chrono-Compatible Low-Level Date Algorithms".
+#[must_use]
+pub fn utc(at_unix_ms: u64) -> String {
+    let at_unix_ms = at_unix_ms.min(MAX_UNIX_MS);
+    let days = at_unix_ms / MS_PER_DAY + 719_468;
+    let era = days / 146_097;
+    let day_of_era = days % 146_097;
+    let leap_days = day_of_era / 1_460 - day_of_era / 36_524 + day_of_era / 146_096;
+    let year_of_era = (day_of_era - leap_days) / 365;
+    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+    let shifted_month = (5 * day_of_year + 2) / 153;
+    let day = day_of_year - (153 * shifted_month + 2) / 5 + 1;
+    let month = if shifted_month < 10 {
+        shifted_month + 3
+    } else {
+        shifted_month - 9
+    };
+    let year = era * 400 + year_of_era + u64::from(month <= 2);
+    let second = at_unix_ms % MS_PER_DAY / 1_000;
+    let (hour, minute, second) = (second / 3_600, second / 60 % 60, second % 60);
+    format!("{year:04}-{month:02}-{day:02} {hour:02}:{minute:02}:{second:02}")
+}
+
+/// A span in its two largest units.
+#[must_use]
+pub fn span(span_ms: u64) -> String {
+    let seconds = span_ms / 1_000;
+    let (days, hours, minutes) = (seconds / 86_400, seconds / 3_600 % 24, seconds / 60 % 60);
+    match (days, hours, minutes) {
+        (0, 0, 0) => format!("{seconds}s"),
+        (0, 0, _) => format!("{minutes}m {}s", seconds % 60),
+        (0, _, _) => format!("{hours}h {minutes}m"),
+        _ => format!("{days}d {hours}h"),
+    }
+}
