Run the whole fleet in one process

Cause: a request had to go end to end before the parts are filled out. Change: radishpaddle-dev starts control, three entry instances and four sample backend servers on loopback ports, submits a document and gives a key.

--- /dev/null
+++ b/crates/dev/src/main.rs
@@ -0,0 +1,133 @@
+//! Runs a whole fleet in one process until Ctrl-C and prints how to call it.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anyhow::{Context as _, Result};
+use lexopt::prelude::{Long, Short};
+use radishpaddle_dev::layout::OPERATOR_TOKEN;
+use radishpaddle_dev::{EmbeddedFleet, FleetLayout};
+use radishpaddle_kernel::logging;
+use radishpaddle_kernel::process::StopSignals;
+use radishpaddle_model::{OrganisationId, OrganisationKey, ServiceDocument};
+
+/// Document of the sample service.
+const SAMPLE_DOCUMENT: &str = include_str!("../sample-service.json");
+
+/// Key of the sample organisation.
+const SAMPLE_KEY: &str = "rk_development_0123456789";
+
+/// Sample backend servers.
+const BACKENDS: u16 = 4;
+
+const USAGE: &str = "Usage: radishpaddle-dev [OPTIONS]
+
+  --base-port PORT  first port of the fleet (default 7800)
+  --entries N       entry instances (default 3)
+  --data DIR        control state; without it a temporary directory is used and removed
+  --log SPEC        log specification (default warn)
+  --run-for MS      stop by itself after this time
+  --help            print this text";
+
+struct Options {
+    layout: FleetLayout,
+    temporary: bool,
+    run_for: Option<Duration>,
+}
+
+fn main() -> Result<()> {
+    let options = parse(lexopt::Parser::from_env())?;
+    let _logger = logging::start(&options.layout.log)?;
+    let directory = options.layout.data_directory.clone();
+    let temporary = options.temporary;
+    let result = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?
+        .block_on(run(options));
+    if temporary {
+        let _ = std::fs::remove_dir_all(directory);
+    }
+    result
+}
+
+fn parse(mut parser: lexopt::Parser) -> Result<Options> {
+    let name = format!("radishpaddle-dev-{}", std::process::id());
+    let mut layout = FleetLayout::new(std::env::temp_dir().join(name));
+    let mut temporary = true;
+    let mut run_for = None;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("base-port") => layout.base_port = number(&mut parser)?,
+            Long("entries") => layout.entries = number::<u16>(&mut parser)?.clamp(1, 20),
+            Long("data") => {
+                layout.data_directory = PathBuf::from(parser.value()?);
+                temporary = false;
+            }
+            Long("log") => layout.log = parser.value()?.to_string_lossy().as_ref().into(),
+            Long("run-for") => run_for = Some(Duration::from_millis(number(&mut parser)?)),
+            Long("help") | Short('h') => {
+                println!("{USAGE}");
+                std::process::exit(0);
+            }
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(Options {
+        layout,
+        temporary,
+        run_for,
+    })
+}
+
+fn number<T: std::str::FromStr>(parser: &mut lexopt::Parser) -> Result<T> {
+    let text = parser.value()?.to_string_lossy().into_owned();
+    text.parse()
+        .ok()
+        .with_context(|| format!("{text:?} is not a number in range"))
+}
+
+async fn run(options: Options) -> Result<()> {
+    let layout = &options.layout;
+    let mut signals = StopSignals::listen()?;
+    println!("starting the fleet ...");
+    let mut fleet = EmbeddedFleet::spawn(layout).await?;
+    let document: ServiceDocument = serde_json::from_str(SAMPLE_DOCUMENT)?;
+    let service = document.service.clone();
+    let organisation: OrganisationId = "estate-north".parse()?;
+    let key: OrganisationKey = SAMPLE_KEY.parse()?;
+    if options.temporary {
+        fleet.add_service(document, &[(organisation, key)]).await?;
+    }
+    fleet.add_backends(layout, &service, BACKENDS).await?;
+    print_guide(layout);
+    match options.run_for {
+        Some(limit) => tokio::time::sleep(limit).await,
+        None => signals.next().await,
+    }
+    println!("stopping ...");
+    fleet.stop().await;
+    Ok(())
+}
+
+fn print_guide(layout: &FleetLayout) {
+    let callers = layout.caller_addresses();
+    let joined: Vec<String> = callers.iter().map(ToString::to_string).collect();
+    let caller = &joined[0];
+    println!("callers:   {}", joined.join(" "));
+    println!("operators: {}", layout.operator_address());
+    println!("metrics:   http://{}/metrics\n", layout.address(1, 3));
+    println!("An idempotent request:\n");
+    println!(
+        "  curl -i -H 'Host: bookings.example' -H 'X-Api-Key: {SAMPLE_KEY}' http://{caller}/lookup/1\n"
+    );
+    println!("An action; repeat the line to get the recorded answer:\n");
+    println!(
+        "  curl -i -X POST -H 'Host: bookings.example' -H 'X-Api-Key: {SAMPLE_KEY}' -H 'Idempotency-Key: hold-1' -d '{{}}' http://{caller}/holds\n"
+    );
+    println!("The state as an operator sees it:\n");
+    println!(
+        "  curl -s -H 'Authorization: Bearer {OPERATOR_TOKEN}' http://{}/v1/status\n",
+        layout.operator_address()
+    );
+    println!("Ctrl-C stops the fleet.");
+}
