Add the policy emulator with the baselines

Cause: the policies could not be compared; each part was only tested by itself.

Router, recorder, claim register, freshness, fair queue, budget and hedge rule are the real code. The leader is not plugged in yet, so the own policy ejects nothing, and a central bucket stands in for the rate allocations. The fair queue gets a dispatch window, because the loads that the leader reports are up to five service times old and cannot gate single dispatches.

--- /dev/null
+++ b/crates/bench/src/claims.rs
@@ -0,0 +1,233 @@
+//! Witnesses with the real claim register, and the messages of the claims.
+
+use std::time::Duration;
+
+use radishpaddle_model::{Incarnation, InstanceId, Revision};
+use radishpaddle_quorum::claim::{
+    Answer, AttemptId, ClaimAttempt, ClaimDecision, ClaimKey, ClaimRegister, ClaimReply,
+    ClaimSettings, Fingerprint,
+};
+use radishpaddle_quorum::{Generation, WitnessGroup};
+
+use crate::emulator::{Emulator, Event};
+use crate::fault::Node;
+use crate::request::{CallerResult, Phase};
+use radishpaddle_model::ResultCode;
+
+/// Number of witnesses; instances 0 to 4, of which the zones hold 2, 2 and 1.
+pub const WITNESSES: usize = 5;
+
+/// Period at which an instance polls the witnesses.
+pub const POLL_PERIOD: Duration = Duration::from_millis(500);
+
+/// The only configuration revision of a run.
+pub const REVISION: Revision = Revision(1);
+
+/// Group of the witnesses.
+#[must_use]
+pub fn witness_group(instances: &[InstanceId]) -> WitnessGroup {
+    WitnessGroup {
+        generation: Generation(1),
+        witnesses: instances.iter().take(WITNESSES).cloned().collect(),
+    }
+}
+
+/// Empty registers, one per witness.
+#[must_use]
+pub fn registers() -> Vec<ClaimRegister> {
+    (0..WITNESSES)
+        .map(|_| ClaimRegister::new(ClaimSettings::default()))
+        .collect()
+}
+
+impl Emulator {
+    /// Polls every witness. The answer is taken at once; its 1 to 3 ms do not matter beside the
+    /// limit of 4 s.
+    pub(crate) fn on_poll(&mut self, instance: usize) {
+        self.add_after(POLL_PERIOD, Event::Poll { instance });
+        let now = self.now;
+        let node = Node::Instance(instance);
+        for witness in 0..WITNESSES {
+            let other = Node::Instance(witness);
+            let both = self.plan.passes(node, other, now) && self.plan.passes(other, node, now);
+            if both && self.plan.instance_up(witness, now) && self.entries[instance].up {
+                let id = &self.fleet.instances[witness];
+                let freshness = &mut self.entries[instance].freshness;
+                freshness.record_answer(now, id, Generation(1), REVISION);
+            }
+        }
+    }
+
+    /// Sends the claim of an action to every witness.
+    pub(crate) fn start_claim(&mut self, id: u64) {
+        let request = &self.requests[&id];
+        let instance = request.instance;
+        let key = ClaimKey {
+            organisation: self.fleet.organisations[request.organisation].clone(),
+            service: self.fleet.services[request.service].id.clone(),
+            idempotency_key: format!("key-{id}").into(),
+        };
+        let attempt = AttemptId {
+            instance: self.fleet.instances[instance].clone(),
+            incarnation: self.entries[instance].incarnation,
+            number: self.next_claim,
+        };
+        self.next_claim += 1;
+        let group = witness_group(&self.fleet.instances);
+        let claim = ClaimAttempt::new(group, key, attempt, Fingerprint([0; 32]), self.now);
+        let wait = claim.deadline().saturating_sub(self.now);
+        let sending = self.requests[&id].sendings;
+        let request = self.request_mut(id);
+        request.phase = Phase::Claiming;
+        request.claim = Some(Box::new(claim));
+        for witness in 0..WITNESSES {
+            let event = Event::ClaimAtWitness {
+                request: id,
+                sending,
+                witness,
+            };
+            self.send(Node::Instance(instance), Node::Instance(witness), event);
+        }
+        self.add_after(
+            wait,
+            Event::ClaimTick {
+                request: id,
+                sending,
+            },
+        );
+    }
+
+    pub(crate) fn on_claim_at_witness(&mut self, id: u64, sending: u32, witness: usize) {
+        if !self.plan.instance_up(witness, self.now) || !self.is_sending(id, sending) {
+            return;
+        }
+        let Some(claim) = &self.requests[&id].claim else {
+            return;
+        };
+        let message = claim.request().clone();
+        let lives: Vec<(InstanceId, Incarnation)> = self.lives();
+        let alive =
+            |attempt: &AttemptId| lives.contains(&(attempt.instance.clone(), attempt.incarnation));
+        let vote = self.registers[witness].claim(self.now, &message, alive);
+        let reply = ClaimReply {
+            generation: Generation(1),
+            witness: self.fleet.instances[witness].clone(),
+            attempt: message.attempt,
+            vote,
+        };
+        let instance = self.requests[&id].instance;
+        let event = Event::ClaimVote {
+            request: id,
+            sending,
+            reply: Box::new(reply),
+        };
+        self.send(Node::Instance(witness), Node::Instance(instance), event);
+    }
+
+    pub(crate) fn on_claim_vote(&mut self, id: u64, sending: u32, reply: &ClaimReply) {
+        if !self.is_sending(id, sending) || !self.entries[self.requests[&id].instance].up {
+            return;
+        }
+        let now = self.now;
+        let claim = self.request_mut(id).claim.as_mut();
+        let decision = claim.and_then(|claim| claim.on_reply(now, reply));
+        if let Some(decision) = decision {
+            self.on_claim_decision(id, &decision);
+        }
+    }
+
+    pub(crate) fn on_claim_tick(&mut self, id: u64, sending: u32) {
+        if !self.is_sending(id, sending) || !self.entries[self.requests[&id].instance].up {
+            return;
+        }
+        let now = self.now;
+        let claim = self.request_mut(id).claim.as_mut();
+        let decision = claim.and_then(|claim| claim.on_tick(now));
+        if let Some(decision) = decision {
+            self.on_claim_decision(id, &decision);
+        }
+    }
+
+    fn on_claim_decision(&mut self, id: u64, decision: &ClaimDecision) {
+        if *decision == ClaimDecision::Dispatch {
+            self.enqueue(id);
+            return;
+        }
+        self.send_abandon(id);
+        let result = match decision {
+            ClaimDecision::Replay(_) => CallerResult::Delivered,
+            ClaimDecision::KeyReused => CallerResult::Code(ResultCode::IdempotencyKeyReused),
+            ClaimDecision::InProgress => CallerResult::Code(ResultCode::InProgress),
+            ClaimDecision::EarlierAttemptUnknown => {
+                CallerResult::Code(ResultCode::EarlierAttemptUnknown)
+            }
+            ClaimDecision::Contended => CallerResult::Code(ResultCode::ClaimContended),
+            _ => CallerResult::Code(ResultCode::ClaimUnavailable),
+        };
+        self.answer(id, result);
+    }
+
+    /// Frees the claim of a request that has not run.
+    pub(crate) fn abandon_claim(&mut self, id: u64) {
+        if let Some(claim) = self.request_mut(id).claim.as_mut() {
+            claim.abandon();
+            self.send_abandon(id);
+        }
+    }
+
+    fn send_abandon(&mut self, id: u64) {
+        let request = &self.requests[&id];
+        let instance = request.instance;
+        let message = request
+            .claim
+            .as_ref()
+            .and_then(|claim| claim.abandon_request());
+        let Some(message) = message else { return };
+        for witness in 0..WITNESSES {
+            let event = Event::Abandon {
+                witness,
+                message: Box::new(message.clone()),
+            };
+            self.send(Node::Instance(instance), Node::Instance(witness), event);
+        }
+    }
+
+    /// Records the outcome of a dispatched action at the witnesses.
+    pub(crate) fn complete_claim(&mut self, id: u64, answer: Answer) {
+        let request = &self.requests[&id];
+        let instance = request.instance;
+        let claim = request.claim.as_ref();
+        let Some(message) = claim.and_then(|claim| claim.complete_request(answer)) else {
+            return;
+        };
+        for witness in 0..WITNESSES {
+            let event = Event::Complete {
+                witness,
+                message: Box::new(message.clone()),
+            };
+            self.send(Node::Instance(instance), Node::Instance(witness), event);
+        }
+    }
+
+    /// A restarted witness copies the claims of a majority of the others.
+    pub(crate) fn recover_register(&mut self, witness: usize) {
+        let mut register = ClaimRegister::new(ClaimSettings::default());
+        let others = (0..WITNESSES).filter(|other| *other != witness);
+        for other in others.take(WITNESSES / 2 + 1) {
+            for copy in self.registers[other].copies(self.now) {
+                register.merge(self.now, &copy);
+            }
+        }
+        self.registers[witness] = register;
+    }
+
+    fn lives(&self) -> Vec<(InstanceId, Incarnation)> {
+        let up = self
+            .entries
+            .iter()
+            .enumerate()
+            .filter(|(_, entry)| entry.up);
+        up.map(|(index, entry)| (self.fleet.instances[index].clone(), entry.incarnation))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/bench/src/dispatch.rs
@@ -0,0 +1,398 @@
+//! Events at the entry instances: admission, queueing, dispatch, retry and hedge.
+
+use std::time::Duration;
+
+use radishpaddle_model::ResultCode;
+use radishpaddle_policy::Completion;
+use radishpaddle_policy::budget::{AttemptFault, FailedAttempt};
+use radishpaddle_policy::fair_queue::{Refused, Waiting};
+use radishpaddle_policy::hedge::HedgeQuery;
+use radishpaddle_quorum::claim::Answer;
+
+use crate::ejection::Choice;
+use crate::emulator::{Emulator, Event};
+use crate::fault::Node;
+use crate::rate::RateDecision;
+use crate::request::{Attempt, CallerResult, Kind, Phase};
+use crate::user::CALLER_LATENCY;
+
+/// Shortest time that an attempt of an idempotent request gets before it is given up for a retry.
+const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(200);
+
+impl Emulator {
+    pub(crate) fn on_entry(&mut self, id: u64, sending: u32) {
+        let request = &self.requests[&id];
+        let (instance, kind) = (request.instance, request.kind);
+        debug_assert_eq!(request.sendings, sending);
+        if !self.entries[instance].up {
+            let result = CallerResult::ConnectionLost;
+            let event = Event::AtCaller {
+                request: id,
+                sending,
+                result,
+            };
+            self.add_after(CALLER_LATENCY, event);
+            return;
+        }
+        if !self.entries[instance].freshness.is_fresh(self.now) {
+            self.answer(id, CallerResult::Code(ResultCode::NotFresh));
+            return;
+        }
+        if !self.take_rate(id) {
+            return;
+        }
+        if kind == Kind::Action && self.policy.claims_actions() {
+            self.start_claim(id);
+        } else {
+            self.enqueue(id);
+        }
+    }
+
+    fn take_rate(&mut self, id: u64) -> bool {
+        let request = &self.requests[&id];
+        let (service, organisation) = (request.service, request.organisation);
+        let instance = request.instance;
+        match self.rates.admit(instance, service, organisation, self.now) {
+            RateDecision::Admit => {
+                self.measure.admitted(service, organisation, self.now);
+                true
+            }
+            RateDecision::Refuse => {
+                self.answer(id, CallerResult::Code(ResultCode::RateExceeded));
+                false
+            }
+        }
+    }
+
+    /// Puts a request into the fair queue of its instance.
+    pub(crate) fn enqueue(&mut self, id: u64) {
+        let request = self.request_mut(id);
+        request.phase = Phase::Queued;
+        let (instance, service, kind) = (request.instance, request.service, request.kind);
+        let waiting = Waiting {
+            organisation: self.fleet.organisations[self.requests[&id].organisation].clone(),
+            weight: kind.weight(),
+            deadline: self.requests[&id].deadline,
+            expected_service: self.expected_service(instance, service, kind),
+            payload: id,
+        };
+        let now = self.now;
+        match self.entries[instance].services[service]
+            .queue
+            .push(now, waiting)
+        {
+            Ok(queued) => {
+                self.request_mut(id).ticket = Some(queued.ticket);
+                if let Some(evicted) = queued.evicted {
+                    self.refuse_waiting(&evicted);
+                }
+                self.pump(instance, service);
+            }
+            Err(refused) => self.refuse_waiting(&refused),
+        }
+    }
+
+    fn expected_service(&self, instance: usize, service: usize, kind: Kind) -> Duration {
+        let class = &self.entries[instance].services[service].hedges[kind.index()];
+        class.median().unwrap_or(kind.mean())
+    }
+
+    fn refuse_all(&mut self, refused: &[Refused<u64>]) {
+        for refusal in refused {
+            self.refuse_waiting(refusal);
+        }
+    }
+
+    fn refuse_waiting(&mut self, refused: &Refused<u64>) {
+        let id = refused.request.payload;
+        self.abandon_claim(id);
+        self.answer(id, CallerResult::Code(refused.code));
+    }
+
+    pub(crate) fn on_look(&mut self, instance: usize, service: usize) {
+        if !self.entries[instance].up {
+            return;
+        }
+        let mut refused = Vec::new();
+        let state = &mut self.entries[instance].services[service];
+        state.look_at = None;
+        state.queue.expire(self.now, &mut refused);
+        self.refuse_all(&refused);
+        self.pump(instance, service);
+    }
+
+    /// Dispatches waiting requests while the window has room, and schedules the next look.
+    pub(crate) fn pump(&mut self, instance: usize, service: usize) {
+        loop {
+            let now = self.now;
+            let mut refused = Vec::new();
+            let state = &mut self.entries[instance].services[service];
+            if !state.window.has_room(state.in_flight) {
+                break;
+            }
+            let ready = state.queue.pop(now, &mut refused);
+            self.refuse_all(&refused);
+            let Some(ready) = ready else { break };
+            self.entries[instance].services[service]
+                .budget
+                .record_first_attempt(now);
+            self.measure.first_dispatch();
+            self.dispatch_or_refuse(ready.request.payload);
+        }
+        self.schedule_look(instance, service);
+    }
+
+    fn schedule_look(&mut self, instance: usize, service: usize) {
+        let state = &mut self.entries[instance].services[service];
+        let Some(at) = state.queue.next_expiry() else {
+            return;
+        };
+        if state.look_at.is_none_or(|planned| at < planned) {
+            state.look_at = Some(at);
+            let event = Event::LookAtQueue { instance, service };
+            self.schedule.add(at.max(self.now), event);
+        }
+    }
+
+    fn dispatch_or_refuse(&mut self, id: u64) {
+        match self.pick(id) {
+            Some(choice) => self.dispatch(id, choice),
+            None => self.end_without_answer(id, ResultCode::NoBackendServer),
+        }
+    }
+
+    fn pick(&mut self, id: u64) -> Option<Choice> {
+        let request = &self.requests[&id];
+        let router = &mut self.entries[request.instance].router;
+        let (service, kind) = (request.service, request.kind);
+        router.pick(service, &request.tried, kind, self.now, &mut self.rng)
+    }
+
+    fn dispatch(&mut self, id: u64, choice: Choice) {
+        let now = self.now;
+        let request = &self.requests[&id];
+        let (instance, service, kind) = (request.instance, request.service, request.kind);
+        let first = request.attempts == 0;
+        let entry = &mut self.entries[instance];
+        let dispatch = entry.router.dispatched(service, choice, kind, now);
+        entry.services[service].in_flight += 1;
+        let number = self.next_attempt;
+        self.next_attempt += 1;
+        let request = self.request_mut(id);
+        request.phase = Phase::Dispatched;
+        request.ticket = None;
+        request.attempts += 1;
+        request.tried.push(choice.server);
+        request.live.push(number);
+        let attempt = Attempt {
+            request: id,
+            kind,
+            server: choice.server,
+            instance,
+            number: u64::from(request.sendings) * 100 + u64::from(request.attempts),
+            dispatched_at: now,
+            live: true,
+            gone: false,
+            dispatch,
+        };
+        self.attempts.insert(number, attempt);
+        let event = Event::AtServer { attempt: number };
+        self.send(Node::Instance(instance), Node::Server(choice.server), event);
+        let timeout = self.attempt_time(id);
+        self.add_after(timeout, Event::AttemptTimeout { attempt: number });
+        if first && kind.is_idempotent() {
+            self.schedule_hedge(instance, service, kind, number);
+        }
+    }
+
+    /// An idempotent request that may be tried again gives up an attempt at half of its time.
+    fn attempt_time(&self, id: u64) -> Duration {
+        let request = &self.requests[&id];
+        let remaining = request.deadline.saturating_sub(self.now);
+        let budget = &self.entries[request.instance].services[request.service].budget;
+        let last = request.attempts >= budget.max_attempts();
+        if last || !request.kind.is_idempotent() {
+            return remaining;
+        }
+        (remaining / 2).max(MIN_ATTEMPT_TIME).min(remaining)
+    }
+
+    fn schedule_hedge(&mut self, instance: usize, service: usize, kind: Kind, attempt: u64) {
+        let class = &self.entries[instance].services[service].hedges[kind.index()];
+        if let Some(delay) = class.delay() {
+            self.add_after(delay, Event::HedgeDelay { attempt });
+        }
+    }
+
+    pub(crate) fn on_hedge_delay(&mut self, number: u64) {
+        let Some(attempt) = self.attempts.get(&number).filter(|attempt| attempt.live) else {
+            return;
+        };
+        let (id, instance) = (attempt.request, attempt.instance);
+        let elapsed = self.now.saturating_sub(attempt.dispatched_at);
+        let request = &self.requests[&id];
+        let (service, kind) = (request.service, request.kind);
+        let (attempts, remaining) = (request.attempts, request.deadline.saturating_sub(self.now));
+        let Some(choice) = self.pick(id) else { return };
+        let query = HedgeQuery {
+            idempotent: kind.is_idempotent(),
+            elapsed,
+            remaining,
+            attempts,
+            in_flight: self.service_in_flight(service),
+            slots: self.fleet.services[service].total_slots(),
+            other_server_free: !choice.over_slots,
+        };
+        let state = &mut self.entries[instance].services[service];
+        let class = &state.hedges[kind.index()];
+        if class.try_hedge(self.now, &query, &mut state.budget).is_ok() {
+            self.measure.repeat_dispatch();
+            self.dispatch(id, choice);
+        }
+    }
+
+    /// Requests in flight at the servers of a service; the instances learn it from the leader.
+    fn service_in_flight(&self, service: usize) -> u32 {
+        let servers = &self.servers[self.fleet.services[service].server_range()];
+        let in_flight: usize = servers
+            .iter()
+            .map(crate::backend_server::BackendServer::in_flight)
+            .sum();
+        u32::try_from(in_flight).unwrap_or(u32::MAX)
+    }
+
+    pub(crate) fn on_attempt_timeout(&mut self, number: u64) {
+        let live = self
+            .attempts
+            .get(&number)
+            .is_some_and(|attempt| attempt.live);
+        if live {
+            self.on_attempt_end(number, Completion::TimedOut);
+        }
+    }
+
+    pub(crate) fn on_attempt_end(&mut self, number: u64, completion: Completion) {
+        let Some(attempt) = self.attempts.get(&number) else {
+            return;
+        };
+        if !attempt.live {
+            self.attempts.remove(&number);
+            return;
+        }
+        let (id, instance) = (attempt.request, attempt.instance);
+        let elapsed = self.now.saturating_sub(attempt.dispatched_at);
+        let service = self.requests[&id].service;
+        self.settle(number, completion);
+        match fault_of(completion) {
+            None => self.on_success(id, elapsed),
+            Some(fault) => self.on_failure(id, fault),
+        }
+        self.pump(instance, service);
+    }
+
+    /// Ends an attempt at the entry instance and tells the evidence, the window and the server.
+    fn settle(&mut self, number: u64, completion: Completion) {
+        let now = self.now;
+        let attempt = self.attempts.get_mut(&number).expect("the attempt exists");
+        attempt.live = false;
+        let (id, instance, server) = (attempt.request, attempt.instance, attempt.server);
+        let dispatch = attempt.dispatch;
+        let request = self.request_mut(id);
+        request.live.retain(|other| *other != number);
+        let service = request.service;
+        let entry = &mut self.entries[instance];
+        entry
+            .router
+            .completed(service, server, dispatch, completion, now);
+        let state = &mut entry.services[service];
+        match completion {
+            Completion::Answered { .. } => state.window.answered(state.in_flight),
+            Completion::Shed => state.window.shed(now),
+            _ => {}
+        }
+        state.in_flight -= 1;
+        self.close_attempt(number);
+    }
+
+    fn on_success(&mut self, id: u64, elapsed: Duration) {
+        let request = &self.requests[&id];
+        let (instance, service, kind) = (request.instance, request.service, request.kind);
+        for other in request.live.clone() {
+            self.settle(other, Completion::Cancelled);
+        }
+        let state = &mut self.entries[instance].services[service];
+        state.hedges[kind.index()].record(self.now, elapsed);
+        let recorded: std::sync::Arc<[u8]> = std::sync::Arc::from(&b"ok"[..]);
+        let answer = Answer::Whole {
+            status: 200,
+            encoded: recorded,
+        };
+        self.complete_claim(id, answer);
+        self.answer(id, CallerResult::Delivered);
+    }
+
+    fn on_failure(&mut self, id: u64, fault: AttemptFault) {
+        let now = self.now;
+        let request = self.request_mut(id);
+        request.may_have_run |= !fault.is_not_run();
+        if !request.live.is_empty() {
+            return;
+        }
+        let (instance, service, kind) = (request.instance, request.service, request.kind);
+        let failed = FailedAttempt {
+            idempotent: kind.is_idempotent(),
+            attempts: request.attempts,
+            fault,
+            answer_started: false,
+            remaining: request.deadline.saturating_sub(now),
+            expected_service: self.expected_service(instance, service, kind),
+        };
+        let budget = &mut self.entries[instance].services[service].budget;
+        let permitted = budget.try_retry(now, &failed).is_ok();
+        match self.pick(id).filter(|_| permitted) {
+            Some(choice) => {
+                self.measure.repeat_dispatch();
+                self.dispatch(id, choice);
+            }
+            None => self.end_without_answer(id, code_of(fault)),
+        }
+    }
+
+    fn end_without_answer(&mut self, id: u64, code: ResultCode) {
+        if self.requests[&id].may_have_run {
+            self.complete_claim(id, Answer::Unknown);
+            let unknown = match code {
+                ResultCode::BackendTimeout => code,
+                _ => ResultCode::BackendFailed,
+            };
+            self.answer(id, CallerResult::Code(unknown));
+        } else {
+            self.abandon_claim(id);
+            self.answer(id, CallerResult::Code(code));
+        }
+    }
+}
+
+fn fault_of(completion: Completion) -> Option<AttemptFault> {
+    match completion {
+        Completion::Answered { status } if status < 500 => None,
+        Completion::Answered { .. } => Some(AttemptFault::ServerError),
+        Completion::Truncated => Some(AttemptFault::AnswerInvalid),
+        Completion::TimedOut => Some(AttemptFault::TimedOut),
+        Completion::Shed => Some(AttemptFault::Shed),
+        Completion::ConnectFailed => Some(AttemptFault::ConnectFailed),
+        Completion::ConnectionLost | Completion::Cancelled | Completion::ChargedToRequest => {
+            Some(AttemptFault::ConnectionLost)
+        }
+    }
+}
+
+const fn code_of(fault: AttemptFault) -> ResultCode {
+    match fault {
+        AttemptFault::ConnectFailed => ResultCode::BackendUnreachable,
+        AttemptFault::Shed => ResultCode::Shed,
+        AttemptFault::TimedOut => ResultCode::BackendTimeout,
+        AttemptFault::ConnectionLost | AttemptFault::ServerError => ResultCode::BackendFailed,
+        AttemptFault::AnswerInvalid => ResultCode::AnswerInvalid,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/ejection.rs
@@ -0,0 +1,376 @@
+//! Choice and ejection of backend servers at one entry instance, behind one closed enum.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use radishpaddle_model::{InstanceId, Percent};
+use radishpaddle_policy::{
+    Balancer, Completion, DispatchId, LocalStanding, Member, PathAvoidance, PickRequest, Recorder,
+    RequestClass, ServerKey, VerdictView, subset_size,
+};
+use rand::rngs::SmallRng;
+
+use crate::fault::Node;
+use crate::number::float_len;
+use crate::policy::Policy;
+use crate::request::Kind;
+use crate::user::{FLOOR_PART, Fleet, zone_id};
+
+/// Errors in a row after which the baseline ejects a server.
+pub const CONSECUTIVE_ERRORS: u32 = 5;
+
+/// First ejection time of the baseline; grows by itself with each ejection.
+pub const BASE_EJECTION: Duration = Duration::from_secs(30);
+
+/// Part of the servers that one instance of the baseline may eject; always at least one.
+pub const MAX_EJECTED_PART: f64 = 0.1;
+
+/// Period of the health checks of the baseline.
+pub const HEALTH_PERIOD: Duration = Duration::from_secs(2);
+
+/// Health checks in a row that must fail before the baseline ejects a server.
+pub const FAILED_HEALTH_CHECKS: u32 = 2;
+
+/// A chosen server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Choice {
+    /// Index of the server.
+    pub server: usize,
+    /// Whether all its slots are in use as far as the instance knows.
+    pub over_slots: bool,
+}
+
+/// Chooses and ejects servers at one entry instance.
+#[derive(Debug)]
+pub enum Router {
+    /// Round robin, with or without ejection by consecutive errors.
+    RoundRobin(RoundRobin),
+    /// The decision code of this project.
+    Pooled(Box<Pooled>),
+}
+
+/// Round robin over the servers of each service.
+#[derive(Debug)]
+pub struct RoundRobin {
+    ranges: Vec<std::ops::Range<usize>>,
+    next: Vec<usize>,
+    ejects: bool,
+    servers: Vec<ServerErrors>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct ServerErrors {
+    consecutive: u32,
+    failed_checks: u32,
+    ejections: u32,
+    ejected_until: Duration,
+}
+
+/// Entry side of pooled detection.
+#[derive(Debug)]
+pub struct Pooled {
+    /// One balancer per service.
+    pub balancers: Vec<Balancer>,
+    /// Evidence of this instance.
+    pub recorder: Recorder,
+    /// Verdicts of the leader.
+    pub verdicts: VerdictView,
+    /// Paths that this instance avoids.
+    pub paths: PathAvoidance,
+    /// Server keys by index.
+    pub keys: Vec<ServerKey>,
+    /// Indexes of servers by key.
+    pub by_key: HashMap<ServerKey, usize>,
+}
+
+impl Router {
+    /// Router of an instance.
+    #[must_use]
+    pub fn new(policy: Policy, fleet: &Fleet, instance: usize) -> Self {
+        match policy {
+            Policy::NoEjection => Self::RoundRobin(RoundRobin::new(fleet, instance, false)),
+            Policy::ConsecutiveErrors => Self::RoundRobin(RoundRobin::new(fleet, instance, true)),
+            Policy::Radishpaddle | Policy::FixedShares => {
+                Self::Pooled(Box::new(Pooled::new(fleet, instance)))
+            }
+        }
+    }
+
+    /// Chooses a server for a request that has tried some already.
+    pub fn pick(
+        &mut self,
+        service: usize,
+        tried: &[usize],
+        kind: Kind,
+        now: Duration,
+        rng: &mut SmallRng,
+    ) -> Option<Choice> {
+        match self {
+            Self::RoundRobin(router) => router.pick(service, tried, now),
+            Self::Pooled(router) => router.pick(service, tried, kind, now, rng),
+        }
+    }
+
+    /// Records a dispatch.
+    pub fn dispatched(
+        &mut self,
+        service: usize,
+        choice: Choice,
+        kind: Kind,
+        now: Duration,
+    ) -> Option<DispatchId> {
+        match self {
+            Self::RoundRobin(_) => None,
+            Self::Pooled(router) => Some(router.dispatched(service, choice, kind, now)),
+        }
+    }
+
+    /// Records the end of an attempt.
+    pub fn completed(
+        &mut self,
+        service: usize,
+        server: usize,
+        dispatch: Option<DispatchId>,
+        completion: Completion,
+        now: Duration,
+    ) {
+        match self {
+            Self::RoundRobin(router) => router.completed(server, completion, now),
+            Self::Pooled(router) => router.completed(service, server, dispatch, completion, now),
+        }
+    }
+
+    /// Records the result of a health check.
+    pub fn health_checked(&mut self, server: usize, healthy: bool, now: Duration) {
+        if let Self::RoundRobin(router) = self {
+            router.health_checked(server, healthy, now);
+        }
+    }
+
+    /// Whether the instance has the server out of rotation by ejection.
+    #[must_use]
+    pub fn is_ejected(&self, server: usize, now: Duration) -> bool {
+        match self {
+            Self::RoundRobin(router) => now < router.servers[server].ejected_until,
+            Self::Pooled(router) => router.is_ejected(server, now),
+        }
+    }
+
+    /// Whether the instance sends the server no normal requests, by ejection or because it avoids
+    /// the path.
+    #[must_use]
+    pub fn is_unused(&self, server: usize, now: Duration) -> bool {
+        let avoided = match self {
+            Self::RoundRobin(_) => false,
+            Self::Pooled(router) => router.is_avoided(server, now),
+        };
+        avoided || self.is_ejected(server, now)
+    }
+}
+
+impl RoundRobin {
+    fn new(fleet: &Fleet, instance: usize, ejects: bool) -> Self {
+        let ranges: Vec<_> = fleet
+            .services
+            .iter()
+            .map(crate::user::Service::server_range)
+            .collect();
+        Self {
+            next: ranges
+                .iter()
+                .map(|range| range.start + instance % range.len())
+                .collect(),
+            ranges,
+            ejects,
+            servers: vec![ServerErrors::default(); fleet.server_count()],
+        }
+    }
+
+    fn pick(&mut self, service: usize, tried: &[usize], now: Duration) -> Option<Choice> {
+        let range = self.ranges[service].clone();
+        for _ in range.clone() {
+            let server = self.next[service];
+            self.next[service] = if server + 1 < range.end {
+                server + 1
+            } else {
+                range.start
+            };
+            let usable = now >= self.servers[server].ejected_until && !tried.contains(&server);
+            if usable {
+                let over_slots = false;
+                return Some(Choice { server, over_slots });
+            }
+        }
+        None
+    }
+
+    fn completed(&mut self, server: usize, completion: Completion, now: Duration) {
+        let failed = match completion {
+            Completion::Answered { status } => status >= 500,
+            Completion::Truncated
+            | Completion::TimedOut
+            | Completion::ConnectFailed
+            | Completion::ConnectionLost => true,
+            Completion::Shed | Completion::Cancelled | Completion::ChargedToRequest => return,
+        };
+        let errors = &mut self.servers[server];
+        errors.consecutive = if failed { errors.consecutive + 1 } else { 0 };
+        if errors.consecutive >= CONSECUTIVE_ERRORS {
+            self.eject(server, now);
+        }
+    }
+
+    fn health_checked(&mut self, server: usize, healthy: bool, now: Duration) {
+        let errors = &mut self.servers[server];
+        errors.failed_checks = if healthy { 0 } else { errors.failed_checks + 1 };
+        if errors.failed_checks >= FAILED_HEALTH_CHECKS {
+            self.eject(server, now);
+        }
+    }
+
+    fn eject(&mut self, server: usize, now: Duration) {
+        let range = self.ranges.iter().find(|range| range.contains(&server));
+        let range = range.expect("the server exists").clone();
+        let allowed = (float_len(range.len()) * MAX_EJECTED_PART).max(1.0);
+        let ejected = self.servers[range]
+            .iter()
+            .filter(|other| now < other.ejected_until);
+        let within_cap = float_len(ejected.count() + 1) <= allowed;
+        let errors = &mut self.servers[server];
+        if !self.ejects || !within_cap || now < errors.ejected_until {
+            return;
+        }
+        errors.consecutive = 0;
+        errors.ejections += 1;
+        errors.ejected_until = now + BASE_EJECTION * errors.ejections;
+    }
+}
+
+impl Pooled {
+    fn new(fleet: &Fleet, instance: usize) -> Self {
+        let id: &InstanceId = &fleet.instances[instance];
+        let keys = server_keys(fleet);
+        let by_key = keys
+            .iter()
+            .enumerate()
+            .map(|(index, key)| (*key, index))
+            .collect();
+        let balancers = fleet.services.iter().map(|service| {
+            let zone = zone_id(Node::Instance(instance).zone());
+            let mut balancer = Balancer::new(id, zone);
+            let members: Vec<Member> = service
+                .server_range()
+                .map(|server| member(&keys, server, service.slots))
+                .collect();
+            let subset = subset_size(members.len(), fleet.instances.len(), CONNECTION_LIMIT, 8);
+            balancer.set_members(&members, floor(), subset);
+            balancer
+        });
+        Self {
+            balancers: balancers.collect(),
+            recorder: Recorder::new(),
+            verdicts: VerdictView::new(id.clone()),
+            paths: PathAvoidance::new(),
+            keys,
+            by_key,
+        }
+    }
+
+    fn pick(
+        &mut self,
+        service: usize,
+        tried: &[usize],
+        kind: Kind,
+        now: Duration,
+        rng: &mut SmallRng,
+    ) -> Option<Choice> {
+        let exclude: Vec<ServerKey> = tried.iter().map(|server| self.keys[*server]).collect();
+        let request = PickRequest {
+            now,
+            may_trial: kind.is_idempotent(),
+            exclude: &exclude,
+        };
+        let balancer = &mut self.balancers[service];
+        let pick = balancer.pick(&request, &self.verdicts, &self.paths, rng)?;
+        Some(Choice {
+            server: self.by_key[&pick.server],
+            over_slots: pick.over_slots,
+        })
+    }
+
+    fn dispatched(
+        &mut self,
+        service: usize,
+        choice: Choice,
+        kind: Kind,
+        now: Duration,
+    ) -> DispatchId {
+        let key = self.keys[choice.server];
+        self.balancers[service].dispatched(key);
+        let class = RequestClass::of_route(kind.route());
+        self.recorder.dispatched(key, class, choice.over_slots, now)
+    }
+
+    fn completed(
+        &mut self,
+        service: usize,
+        server: usize,
+        dispatch: Option<DispatchId>,
+        completion: Completion,
+        now: Duration,
+    ) {
+        let key = self.keys[server];
+        let recorded = dispatch.and_then(|id| self.recorder.completed(id, completion, now));
+        let success = matches!(completion, Completion::Answered { status } if status < 500);
+        let latency = recorded
+            .filter(|_| success)
+            .map(|recorded| recorded.elapsed);
+        self.balancers[service].completed(key, latency);
+        self.paths.observe(key, completion, now);
+    }
+
+    fn is_ejected(&self, server: usize, now: Duration) -> bool {
+        let standing = self.verdicts.standing(self.keys[server], now);
+        !matches!(standing, LocalStanding::InRotation { .. })
+    }
+
+    fn is_avoided(&self, server: usize, now: Duration) -> bool {
+        use radishpaddle_policy::path::PathState;
+        self.paths.state(self.keys[server], now) != PathState::Clear
+    }
+}
+
+/// Connections that a backend server accepts; the smaller figure of the two users.
+const CONNECTION_LIMIT: usize = 330;
+
+/// Keys of all backend servers by index.
+#[must_use]
+pub fn server_keys(fleet: &Fleet) -> Vec<ServerKey> {
+    let services = fleet.services.iter();
+    services
+        .flat_map(|service| {
+            let servers = service.servers.iter();
+            servers.map(|server| ServerKey::new(&service.id, server))
+        })
+        .collect()
+}
+
+/// The floor as a percentage.
+///
+/// # Panics
+///
+/// Does not panic; the constant is a percentage.
+#[must_use]
+pub fn floor() -> Percent {
+    Percent::try_from(FLOOR_PART * 100.0).expect("the floor is a percentage")
+}
+
+fn member(keys: &[ServerKey], server: usize, slots: u32) -> Member {
+    Member {
+        server: keys[server],
+        zone: zone_id(Node::Server(server).zone()),
+        slots,
+        draining: false,
+        cold_until: Duration::ZERO,
+    }
+}
--- a/crates/policy/src/fair_queue.rs
+++ b/crates/policy/src/fair_queue.rs
@@ -23,6 +23,16 @@
 /// Dequeues that the drain estimate needs before it refuses anything.
 const MIN_INTERVALS: u32 = 20;
 
+/// Growth of the dispatch window per answered window.
+const WINDOW_GROWTH: f64 = 1.0;
+
+/// Factor of the dispatch window after a shed. A stronger cut would leave slots idle, since the
+/// window is only the part of one entry instance.
+const WINDOW_CUT: f64 = 0.9;
+
+/// Shortest time between two cuts; sheds of one burst count once.
+const CUT_PERIOD: Duration = Duration::from_millis(100);
+
 /// Bounds of the queue, in requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QueueLimits {
@@ -126,6 +136,57 @@
     last_pop: Option<Duration>,
 }
 
+/// Requests that one entry instance keeps in flight at one service before it lets further ones wait
+/// in its fair queue, where shares and deadlines apply.
+///
+/// Additive increase and multiplicative decrease with sheds as the signal of congestion (Chiu and
+/// Jain 1989). The requests in flight that the leader reports are up to 250 ms old, several service
+/// times, so they cannot gate single dispatches.
+#[derive(Debug, Clone)]
+pub struct DispatchWindow {
+    size: f64,
+    least: f64,
+    most: f64,
+    cut_at: Option<Duration>,
+}
+
+impl DispatchWindow {
+    /// A window for a service with this number of slots behind this number of entry instances. It
+    /// starts at twice the instance's part and may grow to all slots.
+    #[must_use]
+    pub fn new(slots: u32, instances: u32) -> Self {
+        let part = f64::from(slots) / f64::from(instances.max(1));
+        Self {
+            size: (part * 2.0).max(2.0),
+            least: 1.0,
+            most: f64::from(slots).max(2.0),
+            cut_at: None,
+        }
+    }
+
+    /// Whether another request may be dispatched.
+    #[must_use]
+    pub fn has_room(&self, in_flight: u32) -> bool {
+        f64::from(in_flight) + 1.0 <= self.size.max(1.0) + 1e-9
+    }
+
+    /// An answer came while this many requests, itself included, were in flight. The window grows
+    /// only while it is in use.
+    pub fn answered(&mut self, in_flight: u32) {
+        if f64::from(in_flight) * 2.0 >= self.size {
+            self.size = (self.size + WINDOW_GROWTH / self.size).min(self.most);
+        }
+    }
+
+    /// A backend server has shed a request.
+    pub fn shed(&mut self, now: Duration) {
+        if self.cut_at.is_none_or(|at| now >= at + CUT_PERIOD) {
+            self.size = (self.size * WINDOW_CUT).max(self.least);
+            self.cut_at = Some(now);
+        }
+    }
+}
+
 impl<T> FairQueue<T> {
     /// An empty queue.
     #[must_use]
--- a/crates/policy/tests/fair_queue.rs
+++ b/crates/policy/tests/fair_queue.rs
@@ -5,7 +5,7 @@
 
 use proptest::prelude::*;
 use radishpaddle_model::{OrganisationId, Outcome, ResultCode};
-use radishpaddle_policy::fair_queue::{FairQueue, QueueLimits, Ticket, Waiting};
+use radishpaddle_policy::fair_queue::{DispatchWindow, FairQueue, QueueLimits, Ticket, Waiting};
 
 const LIMITS: QueueLimits = QueueLimits {
     per_organisation: 20,
@@ -146,6 +146,37 @@
     assert!(loose.is_ok());
 }
 
+/// Guards against a window that stays large while servers shed, and against one that never grows
+/// again afterwards.
+#[test]
+fn window_shrinks_on_sheds_and_grows_while_used() {
+    let mut window = DispatchWindow::new(60, 10);
+    assert!(window.has_room(11) && !window.has_room(12));
+
+    for index in 0..100 {
+        window.shed(ms(index * 100));
+    }
+    assert!(window.has_room(0) && !window.has_room(1));
+
+    (0..10).for_each(|_| window.answered(1));
+    assert!(
+        window.has_room(1) && !window.has_room(2),
+        "grew although unused"
+    );
+    (0..10).for_each(|_| window.answered(2));
+    assert!(window.has_room(2));
+}
+
+/// Guards against a burst of sheds that closes the window although it is one event.
+#[test]
+fn sheds_of_one_burst_count_once() {
+    let mut window = DispatchWindow::new(60, 10);
+
+    (0..50).for_each(|_| window.shed(ms(5)));
+
+    assert!(window.has_room(9));
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     Push {
