Drive the leader of detection and ejection in the emulator

Cause: the own policy ejected nothing, since the leader was missing.

Change: every instance reports to the leader each 250 ms and applies its verdicts, path faults and requests in flight. The leader is lost with its instance or its majority; the lease is a fake with the times of the real one. The baseline takes its constants from policy::router.

--- a/crates/bench/src/ejection.rs
+++ b/crates/bench/src/ejection.rs
@@ -5,26 +5,18 @@
 
 use radishpaddle_model::{InstanceId, Percent};
 use radishpaddle_policy::{
-    Balancer, Completion, DispatchId, LocalStanding, Member, PathAvoidance, PickRequest, Recorder,
-    RequestClass, ServerKey, VerdictView, subset_size,
+    Balancer, Completion, DispatchId, HealthReport, HealthResponse, LocalStanding, Member,
+    PathAvoidance, PickRequest, Recorder, RequestClass, ServerKey, VerdictView, subset_size,
 };
 use rand::rngs::SmallRng;
 
+use radishpaddle_policy::router::{CONSECUTIVE_ERRORS, LOCAL_EJECTION, MAX_EJECTED_PERCENT};
+
 use crate::fault::Node;
-use crate::number::float_len;
 use crate::policy::Policy;
 use crate::request::Kind;
 use crate::user::{FLOOR_PART, Fleet, zone_id};
 
-/// Errors in a row after which the baseline ejects a server.
-pub const CONSECUTIVE_ERRORS: u32 = 5;
-
-/// First ejection time of the baseline; grows by itself with each ejection.
-pub const BASE_EJECTION: Duration = Duration::from_secs(30);
-
-/// Part of the servers that one instance of the baseline may eject; always at least one.
-pub const MAX_EJECTED_PART: f64 = 0.1;
-
 /// Period of the health checks of the baseline.
 pub const HEALTH_PERIOD: Duration = Duration::from_secs(2);
 
@@ -140,6 +132,14 @@
         }
     }
 
+    /// Evidence and verdicts for the leader of an epoch; empty for the baselines.
+    pub fn report(&mut self, epoch: u64, now: Duration) -> HealthReport {
+        match self {
+            Self::RoundRobin(_) => HealthReport::default(),
+            Self::Pooled(router) => router.report(epoch, now),
+        }
+    }
+
     /// Records the result of a health check.
     pub fn health_checked(&mut self, server: usize, healthy: bool, now: Duration) {
         if let Self::RoundRobin(router) = self {
@@ -231,18 +231,18 @@
     fn eject(&mut self, server: usize, now: Duration) {
         let range = self.ranges.iter().find(|range| range.contains(&server));
         let range = range.expect("the server exists").clone();
-        let allowed = (float_len(range.len()) * MAX_EJECTED_PART).max(1.0);
+        let allowed = range.len() * MAX_EJECTED_PERCENT / 100;
         let ejected = self.servers[range]
             .iter()
             .filter(|other| now < other.ejected_until);
-        let within_cap = float_len(ejected.count() + 1) <= allowed;
+        let within_cap = ejected.count() < allowed;
         let errors = &mut self.servers[server];
         if !self.ejects || !within_cap || now < errors.ejected_until {
             return;
         }
         errors.consecutive = 0;
         errors.ejections += 1;
-        errors.ejected_until = now + BASE_EJECTION * errors.ejections;
+        errors.ejected_until = now + LOCAL_EJECTION * errors.ejections;
     }
 }
 
@@ -329,6 +329,40 @@
         self.paths.observe(key, completion, now);
     }
 
+    fn report(&mut self, epoch: u64, now: Duration) -> HealthReport {
+        let applied = self.verdicts.applied(now);
+        let held = if applied.epoch == epoch {
+            Vec::new()
+        } else {
+            self.verdicts.held(now)
+        };
+        HealthReport {
+            cells: self.recorder.drain(now),
+            applied,
+            held,
+        }
+    }
+
+    /// Takes the answer of the leader to a request sent at `sent_at`. `others_in_flight` has one
+    /// entry per server.
+    pub fn apply(
+        &mut self,
+        response: HealthResponse,
+        others_in_flight: &[u32],
+        sent_at: Duration,
+        now: Duration,
+    ) {
+        self.verdicts.apply(response.update, sent_at);
+        for server in response.avoid {
+            self.paths.advise(server, now);
+        }
+        for (key, others) in self.keys.iter().zip(others_in_flight) {
+            for balancer in &mut self.balancers {
+                balancer.set_others_in_flight(*key, *others);
+            }
+        }
+    }
+
     fn is_ejected(&self, server: usize, now: Duration) -> bool {
         let standing = self.verdicts.standing(self.keys[server], now);
         !matches!(standing, LocalStanding::InRotation { .. })
--- a/crates/bench/src/emulator.rs
+++ b/crates/bench/src/emulator.rs
@@ -13,8 +13,9 @@
 use crate::claims::{POLL_PERIOD, registers};
 use crate::ejection::HEALTH_PERIOD;
 use crate::entry::Entry;
-use crate::fault::{Fault, FaultPlan, Node};
+use crate::fault::{CRASH_DOWN, Fault, FaultPlan, Node};
 use crate::figures::RunFigures;
+use crate::leader::{Leadership, SyncRequest, SyncResponse};
 use crate::measure::Measure;
 use crate::number::{exponential_gap, mixed};
 use crate::policy::Policy;
@@ -27,6 +28,9 @@
 /// Period at which the state of ejection is measured.
 pub const SAMPLE_PERIOD: Duration = Duration::from_millis(50);
 
+/// Offset of the leader's period; the reports of all instances come before it.
+const LEADER_OFFSET: Duration = Duration::from_millis(150);
+
 /// Time after the last arrival in which requests may still end.
 const TAIL: Duration = Duration::from_secs(8);
 
@@ -92,6 +96,16 @@
     Poll { instance: usize },
     /// An entry instance checks the health endpoints.
     HealthCheck { instance: usize },
+    /// An entry instance synchronises with the leader.
+    Sync { instance: usize },
+    /// A report reaches the leader.
+    SyncAtLeader { message: Box<SyncRequest> },
+    /// The answer of the leader reaches the entry instance.
+    SyncResponse { message: Box<SyncResponse> },
+    /// The leader decides, or another one is elected.
+    LeaderTick,
+    /// A crashed server has started again.
+    ServerRestart { server: usize },
     /// The state of ejection is measured.
     Sample,
     /// The faulty servers crash.
@@ -116,6 +130,8 @@
     pub(crate) entries: Vec<Entry>,
     pub(crate) registers: Vec<ClaimRegister>,
     pub(crate) rates: Rates,
+    pub(crate) leadership: Leadership,
+    pub(crate) server_incarnations: Vec<u64>,
     pub(crate) measure: Measure,
     pub(crate) next_claim: u64,
     pub(crate) next_attempt: u64,
@@ -148,6 +164,8 @@
             entries,
             registers: registers(),
             rates: Rates::new(policy, &fleet),
+            leadership: Leadership::new(&fleet),
+            server_incarnations: vec![1; fleet.server_count()],
             measure: Measure::new(&fleet, &plan, length),
             rng: SmallRng::seed_from_u64(mixed(&[seed, 2])),
             arrivals: SmallRng::seed_from_u64(mixed(&[seed, 1])),
@@ -192,8 +210,10 @@
             self.on_poll(instance);
             self.add_after(POLL_PERIOD / 2 + offset, Event::Poll { instance });
             self.add_after(offset, Event::HealthCheck { instance });
+            self.add_after(offset, Event::Sync { instance });
         }
         self.add_after(SAMPLE_PERIOD, Event::Sample);
+        self.add_after(LEADER_OFFSET, Event::LeaderTick);
         for at in self.plan.crashes() {
             self.schedule.add(at, Event::Crash);
         }
@@ -259,6 +279,11 @@
             Event::LookAtQueue { instance, service } => self.on_look(instance, service),
             Event::Poll { instance } => self.on_poll(instance),
             Event::HealthCheck { instance } => self.on_health_check(instance),
+            Event::Sync { instance } => self.on_sync(instance),
+            Event::SyncAtLeader { message } => self.on_sync_at_leader(*message),
+            Event::SyncResponse { message } => self.on_sync_response(*message),
+            Event::LeaderTick => self.on_leader_tick(),
+            Event::ServerRestart { server } => self.on_server_restart(server),
             Event::Sample => self.on_sample(),
             Event::Crash => self.on_crash(),
             Event::InstanceChange { up } => self.on_instance_change(up),
@@ -411,6 +436,7 @@
 
     fn on_crash(&mut self) {
         for server in self.plan.servers.clone() {
+            self.add_after(CRASH_DOWN, Event::ServerRestart { server });
             for attempt in self.servers[server].crash() {
                 self.lose_attempt(attempt);
             }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod entry;
 pub mod fault;
 pub mod figures;
+pub mod leader;
 pub mod measure;
 pub mod number;
 pub mod policy;
