--- /dev/null
+++ b/crates/entry/src/leader_state.rs
@@ -0,0 +1,349 @@
+//! What the witness leader decides for the fleet: rate allocations, ejections, quarantine. It lives as
+//! long as the lease and is rebuilt from the reports of the entry instances by the next leader.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use radishpaddle_kernel::Journal;
+use radishpaddle_model::{FleetConfig, InstanceId, Revision};
+use radishpaddle_policy::detector::ServerInfo;
+use radishpaddle_policy::{
+    Decision, Fingerprint, HealthLeader, PoisonRegistry, ServerKey, ServiceKey, TicketResponse,
+};
+use radishpaddle_quorum::Life;
+use radishpaddle_quorum::allocation::{
+    AllocationReply, AllocationRequest, AllocationSettings, Limit, LimitKey, Pool,
+};
+use radishpaddle_quorum::lease::Leadership;
+use radishpaddle_wire::message::response;
+use rand::rngs::SmallRng;
+use serde_json::json;
+use tokio::sync::oneshot;
+
+use crate::backend_info::BackendInfo;
+use crate::fleet_view::FleetView;
+use crate::sync_message::{CrashReport, SyncReply, SyncRequest, TicketRequest};
+
+/// Period of detection and expiry.
+const TICK_PERIOD: Duration = Duration::from_millis(250);
+
+/// Longest time for which the answer to a crash report waits until every instance was told.
+const SPREAD_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Age at which the in-flight counts of an instance are dropped; six reports.
+const IN_FLIGHT_EXPIRY: Duration = Duration::from_millis(1_500);
+
+/// Crashes that are remembered, so that several reports of one crash count once.
+const KEPT_CRASHES: usize = 4_096;
+
+/// State of one lease.
+pub struct LeaderState {
+    since: Leadership,
+    pool: Pool,
+    health: HealthLeader,
+    poison: PoisonRegistry,
+    journal: Journal,
+    next_tick: Duration,
+    revision: Option<Revision>,
+    limits: HashSet<LimitKey>,
+    servers: HashMap<ServerKey, Arc<BackendInfo>>,
+    in_flight: HashMap<InstanceId, (Duration, HashMap<ServerKey, u32>)>,
+    told: HashMap<InstanceId, u64>,
+    crashes: VecDeque<(Fingerprint, ServerKey, u64)>,
+    waiting: Vec<WaitingCrash>,
+}
+
+/// A crash report whose answer waits until every instance knows the suspects.
+struct WaitingCrash {
+    generation: u64,
+    until: Duration,
+    reply: oneshot::Sender<response::Kind>,
+    answer: response::Kind,
+}
+
+impl LeaderState {
+    /// State of a lease that was just won.
+    #[must_use]
+    pub fn new(
+        life: Life,
+        leadership: &Leadership,
+        predecessor: Option<Life>,
+        journal: Journal,
+        now: Duration,
+    ) -> Self {
+        let settings = AllocationSettings::default();
+        Self {
+            since: *leadership,
+            pool: Pool::new(life, leadership, predecessor, settings, now),
+            health: HealthLeader::new(leadership.since_epoch.0, now),
+            poison: PoisonRegistry::new(leadership.since_epoch.0, now),
+            journal,
+            next_tick: now,
+            revision: None,
+            limits: HashSet::new(),
+            servers: HashMap::new(),
+            in_flight: HashMap::new(),
+            told: HashMap::new(),
+            crashes: VecDeque::new(),
+            waiting: Vec::new(),
+        }
+    }
+
+    /// Whether the state belongs to the lease.
+    #[must_use]
+    pub fn belongs_to(&self, leadership: &Leadership) -> bool {
+        self.since.since_epoch == leadership.since_epoch
+    }
+
+    /// Follows configuration and fleet, and decides when a period has passed. Returns whether the
+    /// other witnesses may be told that this leader holds almost no allocation itself.
+    pub fn tick(
+        &mut self,
+        now: Duration,
+        config: &FleetConfig,
+        fleet: &FleetView,
+        rng: &mut SmallRng,
+    ) -> bool {
+        self.finish_crashes(now, fleet);
+        if now < self.next_tick {
+            return false;
+        }
+        self.next_tick = now + TICK_PERIOD;
+        self.follow_config(now, config);
+        self.follow_servers(now, fleet);
+        self.follow_instances(fleet);
+        self.pool.tick(now);
+        self.settle_pool(now, fleet);
+        self.poison.settle(now);
+        for decision in self.health.tick(now, rng) {
+            self.report(&decision);
+        }
+        self.in_flight
+            .retain(|_, (heard_at, _)| now < *heard_at + IN_FLIGHT_EXPIRY);
+        self.pool.is_ready()
+    }
+
+    /// Answers the reports about rate allocations.
+    pub fn allocate(
+        &mut self,
+        now: Duration,
+        leadership: &Leadership,
+        request: &AllocationRequest,
+    ) -> Option<AllocationReply> {
+        self.pool.on_request(now, Some(leadership), request)
+    }
+
+    /// Takes evidence and in-flight counts and answers with the state of the fleet.
+    pub fn sync(&mut self, now: Duration, leadership: &Leadership, sync: SyncRequest) -> SyncReply {
+        let instance = sync.life.instance;
+        if !sync.quarantine.is_empty() {
+            self.poison.adopt(&sync.quarantine, now);
+        }
+        let counts = sync.in_flight.into_iter().collect();
+        self.in_flight.insert(instance.clone(), (now, counts));
+        let health = self.health.sync(&instance, sync.health, now);
+        let generation = self.poison.generation();
+        let lacks = sync.epoch != leadership.epoch || sync.quarantine_generation != generation;
+        self.told.insert(instance.clone(), generation);
+        SyncReply {
+            epoch: leadership.epoch,
+            health,
+            others_in_flight: self.others_in_flight(&instance),
+            quarantine_generation: generation,
+            quarantine: lacks.then(|| self.poison.entries(now)),
+        }
+    }
+
+    /// Charges the requests of a crash. The answer goes out when every instance was told, or after
+    /// 300 ms.
+    pub fn crash(
+        &mut self,
+        now: Duration,
+        report: &CrashReport,
+        answer: response::Kind,
+        reply: oneshot::Sender<response::Kind>,
+    ) {
+        for (fingerprint, _) in &report.requests {
+            let crash = (*fingerprint, report.server, report.incarnation);
+            if self.crashes.contains(&crash) {
+                continue;
+            }
+            self.crashes.push_back(crash);
+            if self.crashes.len() > KEPT_CRASHES {
+                self.crashes.pop_front();
+            }
+            let state = self.poison.crashed(*fingerprint, now);
+            self.health.clear_evidence(report.server);
+            let server = self.server_name(report.server);
+            let detail = json!({"fingerprint": fingerprint.to_string(), "state": format!("{state:?}")});
+            self.journal
+                .record("backend_server_crashed", None, Some(&server), detail);
+        }
+        self.waiting.push(WaitingCrash {
+            generation: self.poison.generation(),
+            until: now + SPREAD_TIMEOUT,
+            reply,
+            answer,
+        });
+    }
+
+    /// Grants or ends the ticket of a suspect request.
+    pub fn ticket(&mut self, now: Duration, request: &TicketRequest) -> TicketResponse {
+        match request {
+            TicketRequest::Ask {
+                life,
+                fingerprint,
+                remaining_ms,
+            } => {
+                let remaining = Duration::from_millis(*remaining_ms);
+                self.poison
+                    .request_ticket(*fingerprint, &life.instance, remaining, now)
+            }
+            TicketRequest::Finish {
+                fingerprint,
+                ticket,
+                outcome,
+            } => {
+                self.poison
+                    .finish_ticket(*fingerprint, *ticket, *outcome, now);
+                TicketResponse::NotSuspect
+            }
+        }
+    }
+
+    fn follow_config(&mut self, now: Duration, config: &FleetConfig) {
+        if self.revision == Some(config.revision) {
+            return;
+        }
+        self.revision = Some(config.revision);
+        let mut known = HashSet::new();
+        for (service, entry) in &config.services {
+            let floor = entry.document.floor_percent;
+            self.health.put_service(ServiceKey::new(service), floor);
+            for limit in &entry.document.organisations {
+                let key = LimitKey {
+                    service: service.clone(),
+                    organisation: limit.organisation.clone(),
+                };
+                let limit = Limit::new(limit.rate_per_s, limit.burst);
+                self.pool.set_limit(now, &key, Some(limit));
+                known.insert(key);
+            }
+        }
+        for gone in self.limits.difference(&known) {
+            self.pool.set_limit(now, gone, None);
+        }
+        self.limits = known;
+    }
+
+    fn follow_servers(&mut self, now: Duration, fleet: &FleetView) {
+        let announced: HashMap<ServerKey, Arc<BackendInfo>> = fleet
+            .backend_servers
+            .iter()
+            .filter(|server| server.state != radishpaddle_model::BackendState::Left)
+            .map(|server| (server.key, Arc::clone(server)))
+            .collect();
+        for (key, server) in &announced {
+            if self.servers.get(key) != Some(server) {
+                self.health.put_server(server_info(server), now);
+            }
+        }
+        for gone in self.servers.keys().filter(|key| !announced.contains_key(key)) {
+            self.health.remove_server(*gone, now);
+        }
+        self.servers = announced;
+    }
+
+    fn follow_instances(&mut self, fleet: &FleetView) {
+        let instances: Vec<InstanceId> = fleet
+            .members
+            .keys()
+            .map(|life| life.instance.clone())
+            .collect();
+        self.health.set_instances(&instances);
+        let present: HashSet<&InstanceId> = instances.iter().collect();
+        self.told.retain(|instance, _| present.contains(instance));
+    }
+
+    fn settle_pool(&mut self, now: Duration, fleet: &FleetView) {
+        if self.pool.is_settled() {
+            return;
+        }
+        let Some(group) = &fleet.group else {
+            return;
+        };
+        if let Some(lives) = fleet.lives_since(self.pool.started_at(), group) {
+            self.pool.settle_early(now, &lives);
+        }
+    }
+
+    fn others_in_flight(&self, instance: &InstanceId) -> Vec<(ServerKey, u32)> {
+        let mut totals: HashMap<ServerKey, u32> = HashMap::new();
+        for (other, (_, counts)) in &self.in_flight {
+            if other == instance {
+                continue;
+            }
+            for (server, count) in counts {
+                *totals.entry(*server).or_default() += count;
+            }
+        }
+        let mut totals: Vec<_> = totals.into_iter().collect();
+        totals.sort_unstable();
+        totals
+    }
+
+    fn finish_crashes(&mut self, now: Duration, fleet: &FleetView) {
+        let told = &self.told;
+        let mut waiting = Vec::new();
+        for crash in self.waiting.drain(..) {
+            let everyone = fleet.members.keys().all(|life| {
+                told.get(&life.instance)
+                    .is_some_and(|generation| *generation >= crash.generation)
+            });
+            if everyone || now >= crash.until {
+                let _ = crash.reply.send(crash.answer);
+            } else {
+                waiting.push(crash);
+            }
+        }
+        self.waiting = waiting;
+    }
+
+    fn report(&self, decision: &Decision) {
+        let server = self.server_name(decision.server);
+        let service = self
+            .servers
+            .get(&decision.server)
+            .map(|server| server.service.to_string());
+        log::info!("leader: {decision}");
+        let detail = json!({
+            "explanation": decision.to_string(),
+            "slots_announced": decision.capacity.announced,
+            "slots_in_rotation": decision.capacity.in_rotation,
+            "slots_floor": decision.capacity.floor,
+        });
+        let kind = decision.action.name();
+        self.journal
+            .record(kind, service.as_deref(), Some(&server), detail);
+    }
+
+    fn server_name(&self, server: ServerKey) -> String {
+        let known = self.servers.get(&server);
+        known.map_or_else(
+            || server.to_string(),
+            |known| known.backend_server.to_string(),
+        )
+    }
+}
+
+fn server_info(server: &BackendInfo) -> ServerInfo {
+    ServerInfo {
+        server: server.key,
+        service: ServiceKey::new(&server.service),
+        slots: server.slots,
+        draining: server.state != radishpaddle_model::BackendState::Serving,
+        incarnation: server.incarnation,
+        announced_at: server.first_seen,
+    }
+}
