Add rate admission, the exchange with the leader and crash handling to the entry proxy

Cause: requests were admitted without rate, and nothing told the fleet of failing backend servers. Change: a task holds the rate allocations, another sends evidence and takes verdicts every 250 ms, a third tracks crashes and tickets; the witness that holds the lease runs pool, detector and quarantine.

--- a/crates/entry/src/addresses.rs
+++ b/crates/entry/src/addresses.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use radishpaddle_model::{AvailabilityZone, FleetConfig, InstanceId, OrganisationKey};
+use radishpaddle_quorum::address::{DEFAULT_ADDRESSES, choose_addresses};
 use radishpaddle_quorum::witness::{InstanceRecord, InstanceState};
 use serde::Serialize;
 
@@ -13,10 +14,6 @@
 /// Path of the address answer on every entry instance.
 pub const ADDRESSES_PATH: &str = "/.well-known/radishpaddle/addresses";
 
-/// Addresses told to a caller with a key. Few instances for one organisation keep its rate
-/// allocations together; three survive the loss of an availability zone.
-const ADDRESSES_PER_ORGANISATION: usize = 4;
-
 /// Makes address answers from the members of the fleet.
 #[derive(Clone)]
 pub struct AddressBook {
@@ -57,7 +54,12 @@
             .map(|(life, record)| (&life.instance, record))
             .collect();
         if let Some(organisation) = organisation {
-            serving = steer(serving, organisation.as_str());
+            let chosen = choose_addresses(&members, &organisation, DEFAULT_ADDRESSES);
+            let rank = |record: &InstanceRecord| {
+                chosen.iter().position(|address| *address == record.address)
+            };
+            serving.retain(|(_, record)| rank(record).is_some());
+            serving.sort_by_key(|(_, record)| rank(record));
         }
         let addresses = serving
             .into_iter()
@@ -74,39 +76,3 @@
         Answer::json(&serde_json::to_value(answer).unwrap_or_default())
     }
 }
-
-/// The instances with the highest rendezvous hash for the organisation, one zone after the other.
-fn steer<'a>(
-    mut serving: Vec<(&'a InstanceId, &'a InstanceRecord)>,
-    organisation: &str,
-) -> Vec<(&'a InstanceId, &'a InstanceRecord)> {
-    serving.sort_by_key(|(instance, _)| std::cmp::Reverse(weight(organisation, instance)));
-    let mut chosen: Vec<(&InstanceId, &InstanceRecord)> = Vec::new();
-    while chosen.len() < ADDRESSES_PER_ORGANISATION && !serving.is_empty() {
-        let zones = |record: &InstanceRecord| {
-            chosen
-                .iter()
-                .filter(|(_, known)| known.availability_zone == record.availability_zone)
-                .count()
-        };
-        let fewest = serving
-            .iter()
-            .enumerate()
-            .min_by_key(|(index, (_, record))| (zones(record), *index))
-            .map_or(0, |(index, _)| index);
-        chosen.push(serving.remove(fewest));
-    }
-    chosen
-}
-
-/// Rendezvous hash (Thaler and Ravishankar 1998) by FNV-1a with a final mix.
-fn weight(organisation: &str, instance: &InstanceId) -> u64 {
-    let bytes = organisation
-        .bytes()
-        .chain([0])
-        .chain(instance.as_str().bytes());
-    let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    });
-    (hash ^ (hash >> 32)).wrapping_mul(0xff51_afd7_ed55_8ccd)
-}
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -9,7 +9,10 @@
 use radishpaddle_model::{OrganisationId, ResultCode, ServiceDocument};
 use radishpaddle_policy::budget::{AttemptFault, FailedAttempt};
 use radishpaddle_policy::hedge::HedgeQuery;
-use radishpaddle_policy::{Completion, RequestClass, ServerKey};
+use radishpaddle_policy::quarantine::Admission;
+use radishpaddle_policy::{
+    Completion, Fingerprint, RequestClass, ServerKey, TicketId, TicketOutcome,
+};
 use tokio::time::Instant;
 
 use crate::answer::Answer;
@@ -17,6 +20,7 @@
 use crate::backend_info::BackendInfo;
 use crate::clock::Clock;
 use crate::forward::{ForwardRequest, strip_answer_headers};
+use crate::poison_task::{LostRequest, Permission, PoisonHandle, Tickets};
 use crate::service_task::{Acquire, Grant, ServiceHandle};
 
 /// Header with which a backend server refuses a request that it has not started.
@@ -46,6 +50,12 @@
     pub connect_timeout: Duration,
     /// Attempts that may have run: sent, and neither shed nor proved to be unsent.
     pub in_doubt: AtomicU32,
+    /// Crashes of backend servers.
+    pub poison: PoisonHandle,
+    /// Tickets for suspect requests.
+    pub tickets: Tickets,
+    /// Hash of the request.
+    pub fingerprint: Fingerprint,
 }
 
 /// How the attempts of a request ended.
@@ -55,14 +65,8 @@
     Answered(Answer),
     /// No backend server started the request.
     NotRun(ResultCode),
-    /// A backend server may have run the request; `crashed` names the server whose connection was
-    /// lost.
-    Unknown {
-        /// Code for the caller.
-        code: ResultCode,
-        /// Server whose connection was lost with the request in flight.
-        lost: Option<Arc<BackendInfo>>,
-    },
+    /// A backend server may have run the request.
+    Unknown(ResultCode),
 }
 
 struct AttemptEnd {
@@ -76,10 +80,7 @@
         match self.run_attempts().await {
             // A cancelled hedge or an earlier attempt may have run although the last one did not.
             RequestEnd::NotRun(_) if self.in_doubt.load(Ordering::Relaxed) > 0 => {
-                RequestEnd::Unknown {
-                    code: ResultCode::BackendFailed,
-                    lost: None,
-                }
+                RequestEnd::Unknown(ResultCode::BackendFailed)
             }
             end => end,
         }
@@ -88,14 +89,24 @@
     async fn run_attempts(&self) -> RequestEnd {
         let mut tried = Vec::new();
         let mut attempts = 0;
+        let mut ticket = match self.permission().await {
+            Permission::Run => None,
+            Permission::Ticket(ticket, _) => Some(ticket),
+            Permission::Refused => return RequestEnd::NotRun(ResultCode::Quarantined),
+        };
         loop {
             let grant = match self.service.acquire(self.acquire(&tried, attempts)).await {
                 Ok(grant) => grant,
                 Err(code) if attempts == 0 => return RequestEnd::NotRun(code),
                 Err(_) => return RequestEnd::NotRun(ResultCode::Overloaded),
             };
+            let grant = Grant {
+                hedge_after: grant.hedge_after.filter(|_| ticket.is_none()),
+                ..grant
+            };
             let (end, made) = self.attempt_with_hedge(grant, attempts, &mut tried).await;
             attempts += made;
+            self.end_ticket(&end, ticket.take()).await;
             let fault = match self.conclude(end) {
                 Ok(end) => return end,
                 Err(fault) => fault,
@@ -111,7 +122,52 @@
             if !self.service.may_retry(failed, self.class).await {
                 return fault.end;
             }
+            // The failed attempt may have made the request suspect.
+            ticket = match self.permission().await {
+                Permission::Run => None,
+                Permission::Ticket(ticket, _) => Some(ticket),
+                Permission::Refused => return fault.end,
+            };
+        }
+    }
+
+    /// Whether the request may be dispatched now, under a ticket if it is suspect.
+    async fn permission(&self) -> Permission {
+        if self.poison.is_empty() {
+            return Permission::Run;
         }
+        match self.poison.admit(self.fingerprint).await {
+            Admission::Run => Permission::Run,
+            Admission::NeedsTicket => self.tickets.ask(self.fingerprint, self.remaining()).await,
+            Admission::Refuse { .. } => Permission::Refused,
+        }
+    }
+
+    /// Reports a lost connection before the caller is answered, and gives the ticket back.
+    async fn end_ticket(&self, end: &AttemptEnd, ticket: Option<TicketId>) {
+        let lost = matches!(
+            end.outcome,
+            Attempt::Unknown(AttemptFailure::ConnectionLost)
+        );
+        if lost {
+            let lost = LostRequest {
+                server: Arc::clone(&end.server),
+                fingerprint: self.fingerprint,
+                ticket,
+            };
+            self.poison.lost(lost).await;
+        }
+        let Some(ticket) = ticket else {
+            return;
+        };
+        let outcome = match &end.outcome {
+            Attempt::Answered(answer) if is_shed(answer) => TicketOutcome::NotRun,
+            Attempt::Answered(_) => TicketOutcome::Answered,
+            Attempt::NotSent(_) => TicketOutcome::NotRun,
+            Attempt::Unknown(AttemptFailure::ConnectionLost) => TicketOutcome::Crashed,
+            Attempt::Unknown(_) => TicketOutcome::Unknown,
+        };
+        self.tickets.finish(self.fingerprint, ticket, outcome).await;
     }
 
     fn acquire(&self, tried: &[ServerKey], attempts: u32) -> Acquire {
@@ -230,7 +286,7 @@
                 fault: AttemptFault::ConnectFailed,
                 end: RequestEnd::NotRun(ResultCode::BackendUnreachable),
             })),
-            Attempt::Unknown(failure) => Err(Box::new(unknown(failure, end.server))),
+            Attempt::Unknown(failure) => Err(Box::new(unknown(failure))),
         }
     }
 }
@@ -240,7 +296,7 @@
     end: RequestEnd,
 }
 
-fn unknown(failure: AttemptFailure, server: Arc<BackendInfo>) -> Fault {
+const fn unknown(failure: AttemptFailure) -> Fault {
     let (fault, code) = match failure {
         AttemptFailure::ConnectFailed | AttemptFailure::ConnectionLost => {
             (AttemptFault::ConnectionLost, ResultCode::BackendFailed)
@@ -249,10 +305,9 @@
         AttemptFailure::AnswerInvalid => (AttemptFault::AnswerInvalid, ResultCode::AnswerInvalid),
         AttemptFailure::AnswerTooLarge => (AttemptFault::AnswerInvalid, ResultCode::AnswerTooLarge),
     };
-    let lost = (failure == AttemptFailure::ConnectionLost).then_some(server);
     Fault {
         fault,
-        end: RequestEnd::Unknown { code, lost },
+        end: RequestEnd::Unknown(code),
     }
 }
 
--- a/crates/entry/src/fleet_view.rs
+++ b/crates/entry/src/fleet_view.rs
@@ -1,11 +1,11 @@
 //! What this instance knows of the fleet; read by the request path on each request.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use radishpaddle_quorum::lease::Leader;
-use radishpaddle_quorum::witness::InstanceRecord;
+use radishpaddle_quorum::witness::{InstanceRecord, MembershipView};
 use radishpaddle_quorum::{Life, WitnessGroup};
 use tokio::sync::watch;
 
@@ -22,11 +22,20 @@
     pub leader: Option<Leader>,
     /// Members.
     pub members: Arc<BTreeMap<Life, InstanceRecord>>,
+    /// What each witness said about the members.
+    pub membership: Arc<MembershipView>,
     /// Announced backend servers.
     pub backend_servers: Arc<Vec<Arc<BackendInfo>>>,
 }
 
 impl FleetView {
+    /// Every life that may hold a rate allocation; `None` until a majority of the witnesses answered
+    /// a poll that was sent at `since` or later.
+    #[must_use]
+    pub fn lives_since(&self, since: Duration, group: &WitnessGroup) -> Option<BTreeSet<Life>> {
+        self.membership.lives_since(since, group)
+    }
+
     /// Whether requests may be admitted.
     #[must_use]
     pub fn is_fresh(&self, now: Duration) -> bool {
--- a/crates/entry/src/leader_state.rs
+++ b/crates/entry/src/leader_state.rs
@@ -176,7 +176,8 @@
             let state = self.poison.crashed(*fingerprint, now);
             self.health.clear_evidence(report.server);
             let server = self.server_name(report.server);
-            let detail = json!({"fingerprint": fingerprint.to_string(), "state": format!("{state:?}")});
+            let detail =
+                json!({"fingerprint": fingerprint.to_string(), "state": format!("{state:?}")});
             self.journal
                 .record("backend_server_crashed", None, Some(&server), detail);
         }
@@ -249,7 +250,11 @@
                 self.health.put_server(server_info(server), now);
             }
         }
-        for gone in self.servers.keys().filter(|key| !announced.contains_key(key)) {
+        for gone in self
+            .servers
+            .keys()
+            .filter(|key| !announced.contains_key(key))
+        {
             self.health.remove_server(*gone, now);
         }
         self.servers = announced;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,6 +2,7 @@
 //! witness.
 
 pub mod addresses;
+pub mod admission_task;
 pub mod answer;
 pub mod attempts;
 pub mod backend_connection;
@@ -13,15 +14,19 @@
 pub mod config_store;
 pub mod fleet_view;
 pub mod forward;
+pub mod leader_state;
 pub mod metrics;
 mod parts;
 pub mod peer_handler;
+pub mod poison_task;
 pub mod poll_task;
 pub mod request;
 pub mod service_task;
 pub mod services;
 pub mod settings;
 mod status;
+pub mod sync_message;
+pub mod sync_task;
 pub mod witness_port;
 pub mod witness_task;
 
--- a/crates/entry/src/parts.rs
+++ b/crates/entry/src/parts.rs
@@ -14,37 +14,50 @@
     ClientIdentity, PROTOCOL_VERSION, PeerClient, PeerSecurity, PeerServer, ServerIdentity,
     TlsFiles,
 };
+use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::addresses::AddressBook;
+use crate::admission_task::AdmissionHandle;
 use crate::backend_listener::BackendListener;
 use crate::caller_listener::CallerListener;
 use crate::claims::Claims;
 use crate::clock::Clock;
 use crate::config_store::ConfigStore;
-use crate::fleet_view::FleetWatch;
+use crate::fleet_view::{FleetView, FleetWatch};
 use crate::metrics::RequestMetrics;
 use crate::peer_handler::EntryPeerHandler;
+use crate::poison_task::{PoisonHandle, Tickets};
 use crate::poll_task::{self, PollInputs};
 use crate::request::{RequestHandler, RequestIds};
 use crate::services::Services;
 use crate::settings::EntrySettings;
 use crate::status;
+use crate::sync_task::{self, SyncInputs};
 use crate::witness_port::WitnessPorts;
-use crate::witness_task::WitnessHandle;
+use crate::witness_task::{WitnessHandle, WitnessInputs};
 
 inventory::submit! { Plugin { program: Program::Entry, name: "admin", order: 0, start: |context| admin(context) } }
 inventory::submit! { Plugin { program: Program::Entry, name: "witness", order: 10, start: |context| witness(context) } }
 inventory::submit! { Plugin { program: Program::Entry, name: "peers", order: 20, start: |context| peers(context) } }
 inventory::submit! { Plugin { program: Program::Entry, name: "polls", order: 30, start: |context| polls(context) } }
 inventory::submit! { Plugin { program: Program::Entry, name: "services", order: 40, start: |context| services(context) } }
+inventory::submit! { Plugin { program: Program::Entry, name: "admission", order: 44, start: |context| admission(context) } }
+inventory::submit! { Plugin { program: Program::Entry, name: "leader-exchange", order: 46, start: |context| leader_exchange(context) } }
 inventory::submit! { Plugin { program: Program::Entry, name: "backend-servers", order: 50, start: |context| backend_servers(context) } }
 inventory::submit! { Plugin { program: Program::Entry, name: "callers", order: 60, start: |context| callers(context) } }
 
+/// Longest wait at a stop until the leader knows that this instance holds no allocation.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
+
 fn admin(context: Arc<Context>) -> PluginFuture<Result<Running>> {
     Box::pin(async move {
         let settings = context.get::<EntrySettings>()?;
         context.provide(Arc::new(Clock::start()));
         context.provide(Arc::new(ConfigStore::default()));
+        let (view, fleet) = watch::channel(FleetView::default());
+        context.provide(Arc::new(view));
+        context.provide(Arc::new(fleet));
         context.provide(Arc::new(RequestMetrics::register(&context.metrics)?));
         let extra = status::paths(Arc::clone(&context), tokio::runtime::Handle::current());
         let server = AdminServer::bind(settings.common.admin_listen, &context, extra)?;
@@ -85,7 +98,15 @@
         .collect();
     let config = ConfigStore::clone(&*context.get::<ConfigStore>()?);
     let clock = *context.get::<Clock>()?;
-    Ok(WitnessHandle::spawn(life(context), peers, config, clock))
+    let inputs = WitnessInputs {
+        life: life(context),
+        peers,
+        config,
+        fleet: FleetWatch::clone(&*context.get::<FleetWatch>()?),
+        journal: context.journal.clone(),
+        clock,
+    };
+    Ok(WitnessHandle::spawn(inputs))
 }
 
 fn peers(context: Arc<Context>) -> PluginFuture<Result<Running>> {
@@ -116,11 +137,11 @@
             ports: WitnessPorts::clone(&*context.get::<WitnessPorts>()?),
             clock: *context.get::<Clock>()?,
             readiness: context.get::<Readiness>()?,
+            view: watch::Sender::clone(&*context.get::<watch::Sender<FleetView>>()?),
             context: Arc::clone(&context),
         };
-        let view = poll_task::spawn(inputs);
-        context.provide(Arc::new(view.clone()));
-        Ok(Running::holding(view))
+        poll_task::spawn(inputs);
+        Ok(Running::holding(()))
     })
 }
 
@@ -139,6 +160,47 @@
     })
 }
 
+fn admission(context: Arc<Context>) -> PluginFuture<Result<Running>> {
+    Box::pin(async move {
+        let handle = AdmissionHandle::spawn(
+            life(&context),
+            WitnessPorts::clone(&*context.get::<WitnessPorts>()?),
+            FleetWatch::clone(&*context.get::<FleetWatch>()?),
+            *context.get::<Clock>()?,
+        );
+        context.provide(Arc::new(handle.clone()));
+        Ok(Running::new(move |deadline| async move {
+            // The instance is useless for callers now; its share of the rates is needed elsewhere.
+            let until = deadline.min(Instant::now() + RELEASE_TIMEOUT);
+            handle.release(until).await;
+        }))
+    })
+}
+
+fn leader_exchange(context: Arc<Context>) -> PluginFuture<Result<Running>> {
+    Box::pin(async move {
+        let settings = context.get::<EntrySettings>()?;
+        let ports = WitnessPorts::clone(&*context.get::<WitnessPorts>()?);
+        let fleet = FleetWatch::clone(&*context.get::<FleetWatch>()?);
+        let clock = *context.get::<Clock>()?;
+        let journal = context.journal.clone();
+        let poison =
+            PoisonHandle::spawn(life(&context), ports.clone(), fleet.clone(), journal, clock);
+        context.provide(Arc::new(poison.clone()));
+        sync_task::spawn(SyncInputs {
+            life: life(&context),
+            ports,
+            fleet,
+            services: Services::clone(&*context.get::<Services>()?),
+            poison,
+            clock,
+            period: Duration::from_millis(settings.timing.sync_ms),
+            context: Arc::clone(&context),
+        });
+        Ok(Running::holding(()))
+    })
+}
+
 fn backend_servers(context: Arc<Context>) -> PluginFuture<Result<Running>> {
     Box::pin(async move {
         let settings = context.get::<EntrySettings>()?;
@@ -162,6 +224,13 @@
             config: ConfigStore::clone(&*context.get::<ConfigStore>()?),
             fleet: fleet.clone(),
             services: Services::clone(&*context.get::<Services>()?),
+            admission: AdmissionHandle::clone(&*context.get::<AdmissionHandle>()?),
+            poison: PoisonHandle::clone(&*context.get::<PoisonHandle>()?),
+            tickets: Tickets {
+                life: life(&context),
+                ports: ports.clone(),
+                fleet: fleet.clone(),
+            },
             claims: Claims::new(life(&context), ports, clock),
             metrics: RequestMetrics::clone(&*context.get::<RequestMetrics>()?),
             clock,
--- a/crates/entry/src/poll_task.rs
+++ b/crates/entry/src/poll_task.rs
@@ -23,7 +23,7 @@
 use crate::backend_info::BackendInfo;
 use crate::clock::Clock;
 use crate::config_store::ConfigStore;
-use crate::fleet_view::{FleetView, FleetWatch};
+use crate::fleet_view::FleetView;
 use crate::settings::EntrySettings;
 use crate::witness_port::{WitnessPort, WitnessPorts};
 
@@ -63,12 +63,12 @@
     pub clock: Clock,
     /// Readiness that follows freshness.
     pub readiness: Arc<Readiness>,
+    /// Where the view is published.
+    pub view: watch::Sender<FleetView>,
 }
 
 /// Starts the task. It ends when the last receiver of the view is dropped.
-#[must_use]
-pub fn spawn(inputs: PollInputs) -> FleetWatch {
-    let (view, receiver) = watch::channel(FleetView::default());
+pub fn spawn(inputs: PollInputs) {
     let (answers, incoming) = mpsc::channel(ANSWER_QUEUE);
     let life = Life {
         instance: inputs.context.instance.clone(),
@@ -81,7 +81,6 @@
     let task = PollTask {
         inputs,
         life,
-        view,
         answers,
         freshness: Freshness::new(no_group),
         members: MembershipView::default(),
@@ -92,13 +91,11 @@
         fetching: false,
     };
     tokio::spawn(task.run(incoming));
-    receiver
 }
 
 struct PollTask {
     inputs: PollInputs,
     life: Life,
-    view: watch::Sender<FleetView>,
     answers: mpsc::Sender<Answer>,
     freshness: Freshness,
     members: MembershipView,
@@ -118,7 +115,7 @@
         deltas.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let stopping = self.inputs.context.stopping.clone();
         let mut leaving = false;
-        while !self.view.is_closed() {
+        while !self.inputs.view.is_closed() {
             tokio::select! {
                 _ = polls.tick() => self.poll_all(),
                 _ = deltas.tick() => self.read_backends(),
@@ -263,9 +260,10 @@
             group: (group.generation.0 > 0).then(|| Arc::new(group.clone())),
             leader: self.latest_leader(),
             members: Arc::new(self.members.instances(now)),
+            membership: Arc::new(self.members.clone()),
             backend_servers: Arc::new(self.backend_servers(now)),
         };
-        self.view.send_replace(view);
+        self.inputs.view.send_replace(view);
     }
 
     fn latest_leader(&self) -> Option<Leader> {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -14,10 +14,12 @@
     Access, FleetConfig, OrganisationId, OrganisationKey, ResultCode, Route, ServiceDocument,
     ServiceId,
 };
-use radishpaddle_policy::RequestClass;
+use radishpaddle_policy::{Fingerprint as PoisonFingerprint, RequestClass};
+use radishpaddle_quorum::allocation::LimitKey;
 use radishpaddle_quorum::claim::ClaimDecision;
 use tokio::time::Instant;
 
+use crate::admission_task::AdmissionHandle;
 use crate::answer::Answer;
 use crate::attempts::{RequestEnd, RequestPlan};
 use crate::claims::{Claim, ClaimOutcome, Claims, claim_key, fingerprint, replay};
@@ -26,6 +28,7 @@
 use crate::fleet_view::FleetWatch;
 use crate::forward::{DEADLINE_MS, ForwardRequest, IDEMPOTENCY_KEY, presented_key, reveals_key};
 use crate::metrics::{RequestLabels, RequestMetrics};
+use crate::poison_task::{PoisonHandle, Tickets};
 use crate::services::Services;
 use crate::settings::EntrySettings;
 
@@ -47,6 +50,12 @@
     pub services: Services,
     /// Claims for actions.
     pub claims: Claims,
+    /// Rate allocations.
+    pub admission: AdmissionHandle,
+    /// Crashes of backend servers.
+    pub poison: PoisonHandle,
+    /// Tickets for suspect requests.
+    pub tickets: Tickets,
     /// Metrics.
     pub metrics: RequestMetrics,
     /// Local time.
@@ -179,6 +188,17 @@
             .organisation
             .clone()
             .unwrap_or_else(open_organisation);
+        if resolved.organisation.is_some() {
+            self.admit(resolved, &organisation, deadline).await?;
+        }
+        let (method, path, body) = request.identity();
+        let poison_fingerprint = PoisonFingerprint::of(
+            resolved.organisation.as_ref(),
+            &resolved.service,
+            method,
+            path,
+            body,
+        );
         let claim = match idempotency_key {
             Some(key) => match self.claim(resolved, &organisation, &key, &request).await? {
                 Ok(claim) => Some(claim),
@@ -198,11 +218,35 @@
             clock: self.clock,
             connect_timeout: Duration::from_millis(self.settings.limits.connect_timeout_ms),
             in_doubt: AtomicU32::new(0),
+            poison: self.poison.clone(),
+            tickets: self.tickets.clone(),
+            fingerprint: poison_fingerprint,
         };
         let end = run_to_end(plan, claim).await;
         Ok(end)
     }
 
+    /// Takes a token of the organisation's rate and burst.
+    async fn admit(
+        &self,
+        resolved: &Resolved,
+        organisation: &OrganisationId,
+        deadline: Instant,
+    ) -> Result<(), Refused> {
+        let key = LimitKey {
+            service: resolved.service.clone(),
+            organisation: organisation.clone(),
+        };
+        let admitted = self.admission.admit(key, self.clock.at(deadline)).await;
+        admitted.map_err(|code| match code {
+            ResultCode::RateExceeded => (code, "the organisation is over its rate and burst"),
+            _ => (
+                code,
+                "the rate allocation of the organisation is not available",
+            ),
+        })
+    }
+
     async fn read_body(
         &self,
         body: Incoming,
@@ -257,7 +301,7 @@
         match &end {
             RequestEnd::Answered(answer) => claim.complete(Some(answer)),
             RequestEnd::NotRun(_) => claim.abandon(),
-            RequestEnd::Unknown { .. } => claim.complete(None),
+            RequestEnd::Unknown(_) => claim.complete(None),
         }
         answer_of(end)
     });
@@ -273,7 +317,7 @@
     match end {
         RequestEnd::Answered(answer) => answer,
         RequestEnd::NotRun(code) => Answer::refusal(code, not_run_message(code)),
-        RequestEnd::Unknown { code, .. } => {
+        RequestEnd::Unknown(code) => {
             Answer::refusal(code, "the backend server may have run the request")
         }
     }
@@ -286,6 +330,7 @@
         ResultCode::DeadlineExpired => "the deadline passed before a backend server was free",
         ResultCode::Shed => "every backend server that was tried shed the request",
         ResultCode::BackendUnreachable => "no backend server could be reached",
+        ResultCode::Quarantined => "the request crashed backend servers and is held back",
         _ => "the request was not run",
     }
 }
--- a/crates/entry/src/service_task.rs
+++ b/crates/entry/src/service_task.rs
@@ -66,6 +66,13 @@
     pub connection: Option<BackendConnection>,
     /// Time after which a hedge may be asked for.
     pub hedge_after: Option<Duration>,
+    pub(crate) report: GrantReport,
+}
+
+/// Tells the service task how the attempt of a grant ended.
+#[derive(Debug)]
+pub(crate) struct GrantReport {
+    server: ServerKey,
     dispatch: DispatchId,
     class: RequestClass,
     commands: mpsc::Sender<Command>,
@@ -134,29 +141,35 @@
 
 impl Grant {
     /// Reports how the attempt ended and gives the connection back if it can be used again.
-    pub async fn finish(mut self, completion: Completion, connection: Option<BackendConnection>) {
+    pub async fn finish(self, completion: Completion, connection: Option<BackendConnection>) {
+        self.report.finish(completion, connection).await;
+    }
+}
+
+impl GrantReport {
+    async fn finish(mut self, completion: Completion, connection: Option<BackendConnection>) {
         self.finished = true;
-        let finished = self.report(completion, connection);
+        let finished = self.finished(completion, connection);
         let _ = self.commands.send(Command::Finished(finished)).await;
     }
 
-    fn report(&self, completion: Completion, connection: Option<BackendConnection>) -> Finished {
+    fn finished(&self, completion: Completion, connection: Option<BackendConnection>) -> Finished {
         Finished {
             dispatch: self.dispatch,
             class: self.class,
-            server: self.server.key,
+            server: self.server,
             completion,
             connection,
         }
     }
 }
 
-impl Drop for Grant {
+impl Drop for GrantReport {
     fn drop(&mut self) {
         if self.finished {
             return;
         }
-        let finished = Command::Finished(self.report(Completion::Cancelled, None));
+        let finished = Command::Finished(self.finished(Completion::Cancelled, None));
         if let Err(mpsc::error::TrySendError::Full(command)) = self.commands.try_send(finished) {
             // A lost report would leave the request in flight for ever.
             let commands = self.commands.clone();
@@ -511,10 +524,13 @@
             connection,
             server,
             hedge_after: class.filter(|_| hedged).and_then(HedgeClass::delay),
-            dispatch,
-            class: request.class,
-            commands,
-            finished: false,
+            report: GrantReport {
+                server: pick.server,
+                dispatch,
+                class: request.class,
+                commands,
+                finished: false,
+            },
         })
     }
 
--- a/crates/entry/src/sync_message.rs
+++ b/crates/entry/src/sync_message.rs
@@ -8,8 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Sent every 250 ms.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncRequest {
     /// Sender.
     pub life: Life,
@@ -26,8 +25,7 @@
 }
 
 /// Answer to a [`SyncRequest`].
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncReply {
     /// Epoch of the leader.
     pub epoch: Epoch,
@@ -42,8 +40,7 @@
 }
 
 /// A backend server crashed with requests in flight.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
     /// Reporting instance.
     pub life: Life,
@@ -56,8 +53,7 @@
 }
 
 /// Asks for the ticket of a suspect request, or reports its end.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TicketRequest {
     /// Asks for the ticket.
     Ask {
--- /dev/null
+++ b/crates/entry/src/sync_task.rs
@@ -0,0 +1,148 @@
+//! Exchange with the witness leader every 250 ms: evidence and in-flight counts go out, verdicts,
+//! the load of other instances and the quarantine list come back.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use radishpaddle_kernel::Context;
+use radishpaddle_policy::{Cell, HealthReport, ServerKey, VerdictView};
+use radishpaddle_quorum::Life;
+use radishpaddle_quorum::lease::Leader;
+use radishpaddle_wire::message::request;
+use tokio::time::MissedTickBehavior;
+
+use crate::clock::Clock;
+use crate::fleet_view::FleetWatch;
+use crate::poison_task::PoisonHandle;
+use crate::services::Services;
+use crate::sync_message::{SyncReply, SyncRequest};
+use crate::witness_port::WitnessPorts;
+
+/// Longest wait for the answer of the leader; two periods.
+const LEADER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Everything that the task needs from its process.
+pub struct SyncInputs {
+    /// Identity of the process.
+    pub context: Arc<Context>,
+    /// Life of the process.
+    pub life: Life,
+    /// Witnesses.
+    pub ports: WitnessPorts,
+    /// Fleet as known here.
+    pub fleet: FleetWatch,
+    /// Service tasks.
+    pub services: Services,
+    /// Quarantine list.
+    pub poison: PoisonHandle,
+    /// Local time.
+    pub clock: Clock,
+    /// Time between two exchanges.
+    pub period: Duration,
+}
+
+/// Starts the task. It ends when the fleet view ends.
+pub fn spawn(inputs: SyncInputs) {
+    let verdicts = VerdictView::new(inputs.context.instance.clone());
+    let task = SyncTask {
+        inputs,
+        verdicts,
+        quarantine_generation: 0,
+    };
+    tokio::spawn(task.run());
+}
+
+struct SyncTask {
+    inputs: SyncInputs,
+    verdicts: VerdictView,
+    quarantine_generation: u64,
+}
+
+impl SyncTask {
+    async fn run(mut self) {
+        let mut ticks = tokio::time::interval(self.inputs.period);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.exchange().await,
+                changed = self.inputs.fleet.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn exchange(&mut self) {
+        let leader = self.inputs.fleet.borrow().leader.clone();
+        let Some(leader) = leader else {
+            return;
+        };
+        let Some(port) = self.inputs.ports.get(&leader.life.instance).cloned() else {
+            return;
+        };
+        let request = self.request(&leader).await;
+        let sent_at = self.inputs.clock.now();
+        let exchanged = port.exchange(request::Kind::Sync, &request, LEADER_TIMEOUT);
+        if let Ok(reply) = exchanged.await {
+            self.apply(reply, sent_at).await;
+        }
+    }
+
+    async fn request(&self, leader: &Leader) -> SyncRequest {
+        let mut cells: Vec<Cell> = Vec::new();
+        for handle in self.inputs.services.all().into_values() {
+            cells.extend(handle.drain_evidence().await);
+        }
+        let now = self.inputs.clock.now();
+        let applied = self.verdicts.applied(now);
+        let other_epoch = applied.epoch != leader.epoch.0;
+        let mut in_flight: HashMap<ServerKey, u32> = HashMap::new();
+        for cell in cells.iter().filter(|cell| cell.in_flight > 0) {
+            *in_flight.entry(cell.server).or_default() += cell.in_flight;
+        }
+        let quarantine = if other_epoch {
+            self.inputs.poison.entries().await
+        } else {
+            Vec::new()
+        };
+        SyncRequest {
+            life: self.inputs.life.clone(),
+            epoch: leader.epoch,
+            health: HealthReport {
+                cells,
+                applied,
+                held: if other_epoch {
+                    self.verdicts.held(now)
+                } else {
+                    Vec::new()
+                },
+            },
+            in_flight: in_flight.into_iter().collect(),
+            quarantine_generation: self.quarantine_generation,
+            quarantine,
+        }
+    }
+
+    async fn apply(&mut self, reply: SyncReply, sent_at: Duration) {
+        let update = reply.health.update;
+        if !self.verdicts.apply(update.clone(), sent_at) {
+            return;
+        }
+        for handle in self.inputs.services.all().into_values() {
+            handle.apply_verdicts(update.clone(), sent_at).await;
+            handle
+                .set_others_in_flight(reply.others_in_flight.clone())
+                .await;
+            for server in &reply.health.avoid {
+                handle.avoid_path(*server).await;
+            }
+        }
+        self.quarantine_generation = reply.quarantine_generation;
+        if let Some(entries) = reply.quarantine {
+            self.inputs.poison.replace(entries).await;
+        }
+    }
+}
--- a/crates/entry/src/witness_task.rs
+++ b/crates/entry/src/witness_task.rs
@@ -3,11 +3,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use radishpaddle_kernel::Journal;
 use radishpaddle_model::{InstanceId, Revision};
+use radishpaddle_quorum::allocation::AllocationRequest;
 use radishpaddle_quorum::claim::ClaimSettings;
+use radishpaddle_quorum::lease::Leadership;
 use radishpaddle_quorum::witness::{GenerationStart, Witness, WitnessMessage};
 use radishpaddle_quorum::{Generation, Life};
-use radishpaddle_wire::message::{PushConfig, failure, request, response};
+use radishpaddle_wire::message::{Empty, PushConfig, failure, request, response};
 use radishpaddle_wire::{
     PeerClient, WireError, WitnessStatus, decode, decode_response, encode, failure as refusal,
 };
@@ -18,6 +21,9 @@
 
 use crate::clock::Clock;
 use crate::config_store::ConfigStore;
+use crate::fleet_view::FleetWatch;
+use crate::leader_state::LeaderState;
+use crate::sync_message::{SyncRequest, TicketRequest};
 
 /// Requests that wait for the task.
 const REQUEST_QUEUE: usize = 4096;
@@ -34,10 +40,25 @@
     requests: mpsc::Sender<WitnessRequest>,
 }
 
+/// Everything that the witness needs from its process.
+pub struct WitnessInputs {
+    /// Life of the process.
+    pub life: Life,
+    /// The other witnesses.
+    pub peers: BTreeMap<InstanceId, PeerClient>,
+    /// Configuration that pushes are applied to.
+    pub config: ConfigStore,
+    /// Fleet as this process knows it.
+    pub fleet: FleetWatch,
+    /// Events.
+    pub journal: Journal,
+    /// Local time.
+    pub clock: Clock,
+}
+
 enum WitnessRequest {
     Peer(request::Kind, oneshot::Sender<response::Kind>),
     Reply(WitnessReply),
-    Leadership(oneshot::Sender<Option<u64>>),
 }
 
 enum WitnessReply {
@@ -46,26 +67,20 @@
 }
 
 impl WitnessHandle {
-    /// Starts the witness without state. `peers` are the other witnesses.
+    /// Starts the witness without state.
     #[must_use]
-    pub fn spawn(
-        life: Life,
-        peers: BTreeMap<InstanceId, PeerClient>,
-        config: ConfigStore,
-        clock: Clock,
-    ) -> Self {
+    pub fn spawn(inputs: WitnessInputs) -> Self {
         let (requests, receiver) = mpsc::channel(REQUEST_QUEUE);
         let witness = Witness::new(
-            life,
-            peers.keys().cloned(),
+            inputs.life.clone(),
+            inputs.peers.keys().cloned(),
             ClaimSettings::default(),
-            clock.now(),
+            inputs.clock.now(),
         );
         let task = WitnessTask {
             witness,
-            peers,
-            config,
-            clock,
+            leader: None,
+            inputs,
             rng: SmallRng::from_os_rng(),
             replies: requests.downgrade(),
         };
@@ -86,21 +101,12 @@
         }
         answer.await.unwrap_or_else(|_| overloaded())
     }
-
-    /// Epoch of the lease while this witness is the leader.
-    pub async fn leadership(&self) -> Option<u64> {
-        let (reply, answer) = oneshot::channel();
-        let request = WitnessRequest::Leadership(reply);
-        self.requests.send(request).await.ok()?;
-        answer.await.ok().flatten()
-    }
 }
 
 struct WitnessTask {
     witness: Witness,
-    peers: BTreeMap<InstanceId, PeerClient>,
-    config: ConfigStore,
-    clock: Clock,
+    leader: Option<LeaderState>,
+    inputs: WitnessInputs,
     rng: SmallRng,
     replies: mpsc::WeakSender<WitnessRequest>,
 }
@@ -116,16 +122,20 @@
                     None => return,
                 },
                 _ = ticks.tick() => {
-                    let messages = self.witness.tick(self.clock.now(), &mut self.rng);
+                    let messages = self.witness.tick(self.inputs.clock.now(), &mut self.rng);
                     self.send(messages);
+                    self.tick_leader();
                 }
             }
         }
     }
 
     fn take(&mut self, request: WitnessRequest) {
-        let now = self.clock.now();
+        let now = self.inputs.clock.now();
         match request {
+            WitnessRequest::Peer(request::Kind::Crash(bytes), reply) => {
+                self.crash(&bytes, reply, now);
+            }
             WitnessRequest::Peer(kind, reply) => {
                 let _ = reply.send(self.answer(kind, now));
             }
@@ -139,10 +149,6 @@
                     log::info!("witness: recovered from the other witnesses");
                 }
             }
-            WitnessRequest::Leadership(reply) => {
-                let epoch = self.witness.leadership(now);
-                let _ = reply.send(epoch.map(|leadership| leadership.epoch.0));
-            }
         }
     }
 
@@ -172,6 +178,13 @@
             request::Kind::Abandon(bytes) => {
                 decode(&bytes).and_then(|abandon| respond(self.witness.abandon(now, &abandon)))
             }
+            request::Kind::Allocation(bytes) => {
+                decode(&bytes).and_then(|request| self.allocate(now, &request))
+            }
+            request::Kind::Sync(bytes) => decode(&bytes).and_then(|sync| self.sync(now, sync)),
+            request::Kind::Ticket(bytes) => {
+                decode(&bytes).and_then(|request| self.ticket(now, &request))
+            }
             request::Kind::StartGeneration(bytes) => {
                 decode(&bytes).and_then(|start| self.start_generation(now, &start))
             }
@@ -183,6 +196,97 @@
         answered.unwrap_or_else(|error| refusal(failure::Reason::Malformed, error.to_string()))
     }
 
+    /// State of the lease that this witness holds now, made anew when the lease is new.
+    fn leader(&mut self, now: Duration) -> Option<(&mut LeaderState, Leadership)> {
+        let Some(leadership) = self.witness.leadership(now) else {
+            if self.leader.take().is_some() {
+                log::info!("leader: the lease has ended");
+            }
+            return None;
+        };
+        if !self
+            .leader
+            .as_ref()
+            .is_some_and(|leader| leader.belongs_to(&leadership))
+        {
+            log::info!("leader: lease of epoch {} is held", leadership.epoch);
+            self.leader = Some(LeaderState::new(
+                self.inputs.life.clone(),
+                &leadership,
+                self.witness.predecessor().cloned(),
+                self.inputs.journal.clone(),
+                now,
+            ));
+        }
+        self.leader.as_mut().map(|leader| (leader, leadership))
+    }
+
+    fn tick_leader(&mut self) {
+        let now = self.inputs.clock.now();
+        let config = self.inputs.config.current();
+        let fleet = self.inputs.fleet.borrow().clone();
+        let mut rng = self.rng.clone();
+        let ready = self
+            .leader(now)
+            .is_some_and(|(leader, _)| leader.tick(now, &config, &fleet, &mut rng));
+        self.rng = rng;
+        if ready {
+            self.witness.set_ready();
+        }
+    }
+
+    fn allocate(
+        &mut self,
+        now: Duration,
+        request: &AllocationRequest,
+    ) -> Result<response::Kind, WireError> {
+        let Some((leader, leadership)) = self.leader(now) else {
+            return Ok(not_leader());
+        };
+        match leader.allocate(now, &leadership, request) {
+            Some(reply) => respond(Some(reply)),
+            None => Ok(not_leader()),
+        }
+    }
+
+    fn sync(&mut self, now: Duration, sync: SyncRequest) -> Result<response::Kind, WireError> {
+        match self.leader(now) {
+            Some((leader, leadership)) => respond(Some(leader.sync(now, &leadership, sync))),
+            None => Ok(not_leader()),
+        }
+    }
+
+    fn ticket(
+        &mut self,
+        now: Duration,
+        request: &TicketRequest,
+    ) -> Result<response::Kind, WireError> {
+        match self.leader(now) {
+            Some((leader, _)) => respond(Some(leader.ticket(now, request))),
+            None => Ok(not_leader()),
+        }
+    }
+
+    fn crash(&mut self, bytes: &[u8], reply: oneshot::Sender<response::Kind>, now: Duration) {
+        let report = match decode(bytes) {
+            Ok(report) => report,
+            Err(error) => {
+                let malformed = refusal(failure::Reason::Malformed, error.to_string());
+                let _ = reply.send(malformed);
+                return;
+            }
+        };
+        match self.leader(now) {
+            Some((leader, _)) => {
+                let answer = response::Kind::Empty(Empty {});
+                leader.crash(now, &report, answer, reply);
+            }
+            None => {
+                let _ = reply.send(not_leader());
+            }
+        }
+    }
+
     fn status(&self) -> WitnessStatus {
         let life = self.witness.life();
         let generation = self.witness.group().map_or(0, |group| group.generation.0);
@@ -208,7 +312,7 @@
 
     fn push(&mut self, push: &PushConfig) -> Result<response::Kind, WireError> {
         let config = push.config.as_ref();
-        let stored = match config.map(|config| self.config.apply(config)) {
+        let stored = match config.map(|config| self.inputs.config.apply(config)) {
             Some(Ok(revision)) => revision,
             Some(Err(error)) => {
                 return Ok(refusal(failure::Reason::Refused, error.to_string()));
@@ -234,7 +338,8 @@
 
     fn send(&self, messages: Vec<(InstanceId, WitnessMessage)>) {
         for (to, message) in messages {
-            let (Some(peer), Some(replies)) = (self.peers.get(&to), self.replies.upgrade()) else {
+            let (Some(peer), Some(replies)) = (self.inputs.peers.get(&to), self.replies.upgrade())
+            else {
                 continue;
             };
             let peer = peer.clone();
@@ -262,6 +367,11 @@
     }
 }
 
+fn not_leader() -> response::Kind {
+    let reason = failure::Reason::NotLeader;
+    refusal(reason, "this witness does not hold the lease")
+}
+
 /// Response with a payload, or the refusal of a witness that has no state yet.
 fn respond<T: Serialize>(answer: Option<T>) -> Result<response::Kind, WireError> {
     answer.map_or_else(
--- a/crates/policy/src/explanation.rs
+++ b/crates/policy/src/explanation.rs
@@ -142,6 +142,24 @@
     Adopted,
 }
 
+impl Action {
+    /// Kind of the event in the journal.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Ejected { .. } => "ejected",
+            Self::KeptAtFloor => "kept_at_floor",
+            Self::ReturnedForWorse { .. } => "returned_for_worse",
+            Self::ReturnedForFloor => "returned_for_floor",
+            Self::TrialStarted { .. } => "trial_started",
+            Self::TrialRepeated { .. } => "trial_repeated",
+            Self::Ramped { .. } => "ramped",
+            Self::Returned => "returned",
+            Self::Adopted => "adopted",
+        }
+    }
+}
+
 /// One decision of the leader, with the numbers behind it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Decision {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,10 +29,6 @@
 mod scoring;
 pub mod verdict;
 
-pub mod budget;
-pub mod fair_queue;
-pub mod hedge;
-
 pub use balancer::{Balancer, Member, Pick, PickRequest, subset_size};
 pub use detector::{Detector, ServerInfo};
 pub use ejection::EjectionController;
