Add the operator command line

Cause: operators need submissions with revision and id, keys that never leave their machine, and the state of the spread.

--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -1,12 +1,20 @@
 //! Control process of the fleet.
 
+use std::process::ExitCode;
+
 use radishpaddle_control::command::{self, Command};
 use radishpaddle_control::{ControlSettings, maintenance};
 use radishpaddle_kernel::{Program, process};
 
-fn main() -> anyhow::Result<()> {
+const NAME: &str = "radishpaddle-control";
+
+fn main() -> ExitCode {
+    process::exit_code(NAME, run())
+}
+
+fn run() -> anyhow::Result<()> {
     match command::parse(lexopt::Parser::from_env())? {
-        Command::Run => process::run::<ControlSettings>(Program::Control, "radishpaddle-control"),
+        Command::Run => process::run::<ControlSettings>(Program::Control, NAME),
         Command::Found { settings } => maintenance::found(&settings),
         Command::Export { settings, file } => maintenance::export(&settings, &file),
         Command::Restore {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,1 +1,6 @@
 //! Operator command line.
+
+pub mod arguments;
+pub mod client;
+pub mod command;
+pub mod output;
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,16 @@
+//! Operator command line of the fleet.
+
+use std::process::ExitCode;
+
+use radishpaddle_ctl::{arguments, command};
+
+fn main() -> ExitCode {
+    let parsed = arguments::parse(lexopt::Parser::from_env());
+    match parsed.and_then(|invocation| command::run(&invocation)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("radishpaddlectl: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/dev/src/main.rs
+++ b/crates/dev/src/main.rs
@@ -1,6 +1,7 @@
 //! Runs a whole fleet in one process until Ctrl-C and prints how to call it.
 
 use std::path::PathBuf;
+use std::process::ExitCode;
 use std::time::Duration;
 
 use anyhow::{Context as _, Result};
@@ -8,7 +9,7 @@
 use radishpaddle_dev::layout::OPERATOR_TOKEN;
 use radishpaddle_dev::{EmbeddedFleet, FleetLayout};
 use radishpaddle_kernel::logging;
-use radishpaddle_kernel::process::StopSignals;
+use radishpaddle_kernel::process::{self, StopSignals};
 use radishpaddle_model::{OrganisationId, OrganisationKey, ServiceDocument};
 
 /// Document of the sample service.
@@ -35,7 +36,11 @@
     run_for: Option<Duration>,
 }
 
-fn main() -> Result<()> {
+fn main() -> ExitCode {
+    process::exit_code("radishpaddle-dev", run_process())
+}
+
+fn run_process() -> Result<()> {
     let options = parse(lexopt::Parser::from_env())?;
     let _logger = logging::start(&options.layout.log)?;
     let directory = options.layout.data_directory.clone();
--- a/crates/kernel/src/process.rs
+++ b/crates/kernel/src/process.rs
@@ -1,5 +1,6 @@
 //! Main function of the long-running programs.
 
+use std::process::ExitCode;
 use std::sync::Arc;
 
 use anyhow::{Context as _, Result};
@@ -31,6 +32,18 @@
         .block_on(run_until_signal(program, Arc::new(settings)))
 }
 
+/// Exit code of a program; an error is printed as one line.
+#[must_use]
+pub fn exit_code(name: &str, result: Result<()>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{name}: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 async fn run_until_signal<S: ProcessSettings>(program: Program, settings: Arc<S>) -> Result<()> {
     let mut signals = StopSignals::listen()?;
     let kernel = Kernel::spawn(program, settings).await?;
