--- a/crates/report/src/burn.rs
+++ b/crates/report/src/burn.rs
@@ -358,6 +358,8 @@
     let keys = increases.iter().flat_map(|increase| increase.series.keys());
     let mut names: Vec<String> = keys
         .map(|key| key.service.clone())
+        // Requests that match no service have an empty name.
+        .filter(|name| !name.is_empty())
         .filter(|name| {
             !documents
                 .iter()
--- a/crates/testkit/src/caller/addresses.rs
+++ b/crates/testkit/src/caller/addresses.rs
@@ -29,12 +29,19 @@
 /// Response of `GET /.well-known/radishpaddle/addresses`; unknown fields are ignored.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 pub struct AddressAnswer {
-    /// Addresses to connect to, the preferred ones first.
-    pub addresses: Vec<SocketAddr>,
+    /// Instances to connect to, the preferred ones first.
+    pub addresses: Vec<AddressEntry>,
     /// How long the answer may be used, in milliseconds.
     pub lifetime_ms: u64,
 }
 
+/// One entry instance of an address response.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct AddressEntry {
+    /// Where it accepts callers.
+    pub address: SocketAddr,
+}
+
 /// The text is not a usable address response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ParseAddressesError(String);
@@ -96,17 +103,16 @@
             return Ok(address);
         }
         let answer = self.ask_any(key, host).await?;
-        let remote = answer
-            .addresses
-            .iter()
-            .find(|address| !address.ip().is_loopback());
+        let entries = answer.addresses.iter();
+        let addresses: Vec<SocketAddr> = entries.map(|entry| entry.address).collect();
+        let remote = addresses.iter().find(|address| !address.ip().is_loopback());
         if let (true, Some(address)) = (self.loopback_only, remote) {
             bail!("{address} is not a loopback address");
         }
         let until = Instant::now() + Duration::from_millis(answer.lifetime_ms);
-        let first = answer.addresses[0];
+        let first = addresses[0];
         let mut cache = self.lock();
-        let known = (answer.addresses, until);
+        let known = (addresses, until);
         cache.answers.insert(host.to_owned(), known);
         Ok(cache.next(host).unwrap_or(first))
     }
