Let the sample backend server answer address requests

Cause: the latency that the proxy adds needs a baseline without it, measured by the same load generator.

A service time of 0 skips the timer, which rounds up to 1 ms.

--- a/crates/testkit/src/backend/serve.rs
+++ b/crates/testkit/src/backend/serve.rs
@@ -27,6 +27,7 @@
 use super::answer::{AnswerBody, End, ExcessBytes, ExcessIo, Work};
 use super::record::{Execution, RECORDED_BODY_BYTES};
 use super::shared::Shared;
+use crate::caller::ADDRESSES_PATH;
 use crate::clock::now_us;
 
 /// How long a late answer waits after the deadline.
@@ -114,6 +115,9 @@
     if matches!(request.uri().path(), "/health" | "/load") {
         return Ok(probe(&shared).await);
     }
+    if shared.settings.answers_addresses && request.uri().path() == ADDRESSES_PATH {
+        return Ok(own_address(&shared));
+    }
     let plan = shared.faults();
     if !shared.accepts_work() || must_shed(&shared, &plan) {
         return Ok(shed());
@@ -135,7 +139,11 @@
         shared.crash(plan.restart_after_ms);
         match pending::<Infallible>().await {}
     }
-    sleep(shared.service_time(&plan)).await;
+    let service_time = shared.service_time(&plan);
+    // The runtime's timer rounds up to 1 ms, which would make a service time of 0 impossible.
+    if !service_time.is_zero() {
+        sleep(service_time).await;
+    }
     wait_for_deadline(&plan, &head, arrival).await;
     let status = if shared.draw(plan.error_share) {
         StatusCode::INTERNAL_SERVER_ERROR
@@ -198,6 +206,12 @@
     plain(StatusCode::OK, body.to_string().into())
 }
 
+fn own_address(shared: &Shared) -> Answer {
+    let address = shared.settings.announced_address.unwrap_or(shared.address);
+    let body = json!({"addresses": [{"address": address}], "lifetime_ms": 5_000});
+    plain(StatusCode::OK, body.to_string().into())
+}
+
 fn shed() -> Answer {
     let mut answer = plain(
         StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/testkit/src/backend/settings.rs
+++ b/crates/testkit/src/backend/settings.rs
@@ -45,6 +45,8 @@
     pub probe_time_ms: u64,
     /// Filler bytes in each response body.
     pub answer_filler_bytes: usize,
+    /// Answers address requests with its own address, so that callers can be measured without a fleet.
+    pub answers_addresses: bool,
     /// Executions that are kept in memory.
     pub record_limit: usize,
     /// Seed for service times and fault shares.
@@ -80,6 +82,7 @@
             cold_factor: 5.0,
             probe_time_ms: 25,
             answer_filler_bytes: 0,
+            answers_addresses: false,
             record_limit: 200_000,
             seed: 1,
             faults: FaultPlan::default(),
--- a/crates/testkit/src/bin/radishpaddle-sample-backend.rs
+++ b/crates/testkit/src/bin/radishpaddle-sample-backend.rs
@@ -22,6 +22,9 @@
   --token TEXT              bearer token for announcements
   --announce-period-ms N    time between two announcements [2000]
   --service-time-ms NUMBER  mean service time [5]
+  --answer-bytes NUMBER     filler bytes in each response body [0]
+  --record-limit NUMBER     executions that are kept in memory [200000]
+  --answer-addresses        answers address requests with its own address
   --faults JSON             faults from the start
   --seed NUMBER             seed for service times and fault shares [1]
 
@@ -52,6 +55,7 @@
         match argument {
             Long("service") => service = Some(parser.value()?.parse()?),
             Long("name") => name = Some(parser.value()?.parse()?),
+            Long("answer-addresses") => settings.answers_addresses = true,
             Long("help") | Short('h') => return Ok(None),
             Long(option) => {
                 let option = option.to_owned();
@@ -81,6 +85,8 @@
         "announce-period-ms" => settings.announce_period_ms = value.parse()?,
         "service-time-ms" => settings.service_time_ms = value.parse()?,
         "faults" => settings.faults = serde_json::from_str(value)?,
+        "answer-bytes" => settings.answer_filler_bytes = value.parse()?,
+        "record-limit" => settings.record_limit = value.parse()?,
         "seed" => settings.seed = value.parse()?,
         _ => anyhow::bail!("unknown option"),
     }
--- a/crates/testkit/src/caller/addresses.rs
+++ b/crates/testkit/src/caller/addresses.rs
@@ -15,7 +15,7 @@
 use crate::http;
 
 /// Where every entry instance answers with addresses.
-const PATH: &str = "/.well-known/radishpaddle/addresses";
+pub const ADDRESSES_PATH: &str = "/.well-known/radishpaddle/addresses";
 
 /// Largest address response, in bytes.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
@@ -165,7 +165,7 @@
 }
 
 async fn ask(seed: SocketAddr, key: Option<&str>, host: &str) -> Result<AddressAnswer> {
-    let mut request = Request::get(PATH).header("host", host);
+    let mut request = Request::get(ADDRESSES_PATH).header("host", host);
     if let Some(key) = key {
         request = request.header("x-api-key", key);
     }
--- a/crates/testkit/src/caller/mod.rs
+++ b/crates/testkit/src/caller/mod.rs
@@ -16,7 +16,9 @@
 use hyper::{Request, Response};
 use radishpaddle_model::{OrganisationId, Outcome, Refusal, ResultCode};
 
-pub use addresses::{AddressAnswer, AddressEntry, ParseAddressesError, parse_addresses};
+pub use addresses::{
+    ADDRESSES_PATH, AddressAnswer, AddressEntry, ParseAddressesError, parse_addresses,
+};
 pub use operation::{Attempt, Operation, Told};
 
 use crate::backend::digest;
--- a/crates/testkit/tests/backend.rs
+++ b/crates/testkit/tests/backend.rs
@@ -357,3 +357,27 @@
         .await
         .expect("the state is reached");
 }
+
+/// Guards against measurements without a fleet that do not find the server: callers ask it for addresses.
+#[tokio::test]
+async fn address_request_is_answered_with_the_own_address() {
+    use radishpaddle_testkit::caller::{ADDRESSES_PATH, parse_addresses};
+
+    let mut settings = settings();
+    settings.answers_addresses = true;
+    let server = backend::spawn(settings).await.unwrap();
+
+    let none = Bytes::new();
+    let reply = http::call(
+        server.address(),
+        Method::GET,
+        ADDRESSES_PATH,
+        None,
+        none,
+        TIMEOUT,
+    );
+
+    let answer = parse_addresses(&reply.await.unwrap().1).unwrap();
+    assert_eq!(answer.addresses[0].address, server.address());
+    assert!(server.executions().is_empty());
+}
