--- a/crates/testkit/src/caller/mod.rs
+++ b/crates/testkit/src/caller/mod.rs
@@ -243,18 +243,22 @@
     };
     let header = head.headers.get("x-result-code");
     let code = header.and_then(|value| value.to_str().ok()?.parse().ok());
+    interpret(head.status.as_u16(), code, &body)
+}
+
+/// What a complete response tells a caller, from its status, result code and body.
+#[must_use]
+pub fn interpret(status: u16, code: Option<u16>, body: &[u8]) -> Told {
     let is_refusal = code.is_some_and(|code| code >= ResultCode::NoRoute.number());
-    let status = head.status.as_u16();
     if !is_refusal {
-        let operation = operation_in(&body);
         return Told::Answer {
             status,
             code,
-            digest: digest(&body),
-            operation,
+            digest: digest(body),
+            operation: operation_in(body),
         };
     }
-    match serde_json::from_slice::<Refusal>(&body) {
+    match serde_json::from_slice::<Refusal>(body) {
         Ok(refusal) if Some(refusal.code) == code => refused(&refusal),
         _ => Told::Broken {
             error: format!("malformed refusal with status {status}"),
--- /dev/null
+++ b/crates/testkit/tests/parsing.rs
@@ -0,0 +1,52 @@
+//! Whatever arrives from outside is refused or read, and never ends a test program.
+
+use proptest::prelude::*;
+use radishpaddle_model::{Refusal, ResultCode};
+use radishpaddle_testkit::backend::FaultPlan;
+use radishpaddle_testkit::caller::{Told, interpret};
+use radishpaddle_testkit::fault_proxy::ProxyPlan;
+use radishpaddle_testkit::history::History;
+
+proptest! {
+    /// Guards against a panic on control requests, saved histories and responses.
+    #[test]
+    fn any_bytes_are_handled(body in proptest::collection::vec(any::<u8>(), 0..300), status: u16) {
+        let _ = serde_json::from_slice::<FaultPlan>(&body);
+        let _ = serde_json::from_slice::<ProxyPlan>(&body);
+        let _ = serde_json::from_slice::<History>(&body);
+        let refused = interpret(status, Some(2_003), &body);
+        let is_broken = matches!(refused, Told::Broken { .. });
+        prop_assert!(is_broken);
+        let answered = interpret(status, None, &body);
+        let is_answer = matches!(answered, Told::Answer { .. });
+        prop_assert!(is_answer);
+    }
+
+    /// Guards against a crash marker that is missed or invented at the edges of a body.
+    #[test]
+    fn crash_marker_is_found_where_it_is(before in "[a-z]{0,9}", after in "[a-z]{0,9}", marker in "[A-Z]{1,5}") {
+        let plan = FaultPlan { crash_marker: Some(marker.clone()), ..FaultPlan::default() };
+
+        let marked = format!("{before}{marker}{after}");
+        prop_assert!(plan.crashes("/", marked.as_bytes()));
+        prop_assert!(plan.crashes(&marked, b""));
+        prop_assert!(!plan.crashes(&before, after.as_bytes()));
+    }
+}
+
+/// Guards against a result code whose refusal the caller cannot read.
+#[test]
+fn every_refusal_is_understood() {
+    for code in ResultCode::ALL.iter().filter(|code| code.number() >= 2_000) {
+        let body = serde_json::to_vec(&Refusal::new(*code, "text")).unwrap();
+
+        let told = interpret(code.http_status(), Some(code.number()), &body);
+
+        let number = code.number();
+        let expected = match code.outcome() {
+            radishpaddle_model::Outcome::NotRun => Told::NotRun { code: number },
+            _ => Told::OutcomeUnknown { code: number },
+        };
+        assert_eq!(told, expected, "{code}");
+    }
+}
