Average the loads of other instances before the balancer uses them

Cause: each instance got the requests in flight of up to 250 ms ago, about five service times. All instances sent to the servers that were free then, so those shed while others idled.

Change: the emulator gives the balancer an average of these loads with a memory of 8 s, and the emulator follows the type of the attempt id in the quorum crate.

The averaging belongs into Balancer::set_others_in_flight, so that every user of the balancer has it.

--- a/crates/bench/src/claims.rs
+++ b/crates/bench/src/claims.rs
@@ -1,18 +1,18 @@
 //! Witnesses with the real claim register, and the messages of the claims.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use radishpaddle_model::{Incarnation, InstanceId, Revision};
+use radishpaddle_model::{InstanceId, ResultCode, Revision};
 use radishpaddle_quorum::claim::{
     Answer, AttemptId, ClaimAttempt, ClaimDecision, ClaimKey, ClaimRegister, ClaimReply,
     ClaimSettings, Fingerprint,
 };
-use radishpaddle_quorum::{Generation, WitnessGroup};
+use radishpaddle_quorum::{Generation, Life, WitnessGroup};
 
 use crate::emulator::{Emulator, Event};
 use crate::fault::Node;
 use crate::request::{CallerResult, Phase};
-use radishpaddle_model::ResultCode;
 
 /// Number of witnesses; instances 0 to 4, of which the zones hold 2, 2 and 1.
 pub const WITNESSES: usize = 5;
@@ -68,8 +68,7 @@
             idempotency_key: format!("key-{id}").into(),
         };
         let attempt = AttemptId {
-            instance: self.fleet.instances[instance].clone(),
-            incarnation: self.entries[instance].incarnation,
+            life: self.life(instance),
             number: self.next_claim,
         };
         self.next_claim += 1;
@@ -105,9 +104,8 @@
             return;
         };
         let message = claim.request().clone();
-        let lives: Vec<(InstanceId, Incarnation)> = self.lives();
-        let alive =
-            |attempt: &AttemptId| lives.contains(&(attempt.instance.clone(), attempt.incarnation));
+        let lives = self.lives();
+        let alive = |attempt: &AttemptId| lives.contains(&attempt.life);
         let vote = self.registers[witness].claim(self.now, &message, alive);
         let reply = ClaimReply {
             generation: Generation(1),
@@ -221,13 +219,17 @@
         self.registers[witness] = register;
     }
 
-    fn lives(&self) -> Vec<(InstanceId, Incarnation)> {
-        let up = self
-            .entries
-            .iter()
-            .enumerate()
-            .filter(|(_, entry)| entry.up);
-        up.map(|(index, entry)| (self.fleet.instances[index].clone(), entry.incarnation))
-            .collect()
+    /// Life of the process of an instance.
+    pub(crate) fn life(&self, instance: usize) -> Life {
+        Life {
+            instance: self.fleet.instances[instance].clone(),
+            incarnation: self.entries[instance].incarnation,
+        }
+    }
+
+    /// Lives of all processes that run.
+    pub(crate) fn lives(&self) -> BTreeSet<Life> {
+        let up = (0..self.entries.len()).filter(|instance| self.entries[*instance].up);
+        up.map(|instance| self.life(instance)).collect()
     }
 }
--- a/crates/bench/src/ejection.rs
+++ b/crates/bench/src/ejection.rs
@@ -13,10 +13,16 @@
 use radishpaddle_policy::router::{CONSECUTIVE_ERRORS, LOCAL_EJECTION, MAX_EJECTED_PERCENT};
 
 use crate::fault::Node;
+use crate::number::rounded;
 use crate::policy::Policy;
 use crate::request::Kind;
 use crate::user::{FLOOR_PART, Fleet, zone_id};
 
+/// Weight of the newest load that the leader tells in the averages that the balancer gets, at one
+/// report per 250 ms; the memory is about 8 s. Single reports are several service times old, and
+/// all instances would send to the servers that were free then.
+pub const LOAD_GAIN: f64 = 0.03;
+
 /// Period of the health checks of the baseline.
 pub const HEALTH_PERIOD: Duration = Duration::from_secs(2);
 
@@ -69,6 +75,8 @@
     pub verdicts: VerdictView,
     /// Paths that this instance avoids.
     pub paths: PathAvoidance,
+    /// Average requests that the other instances have in flight, by server.
+    pub others_in_flight: Vec<f64>,
     /// Server keys by index.
     pub keys: Vec<ServerKey>,
     /// Indexes of servers by key.
@@ -271,6 +279,7 @@
             recorder: Recorder::new(),
             verdicts: VerdictView::new(id.clone()),
             paths: PathAvoidance::new(),
+            others_in_flight: vec![0.0; keys.len()],
             keys,
             by_key,
         }
@@ -356,9 +365,11 @@
         for server in response.avoid {
             self.paths.advise(server, now);
         }
-        for (key, others) in self.keys.iter().zip(others_in_flight) {
+        for (server, others) in others_in_flight.iter().enumerate() {
+            let average = &mut self.others_in_flight[server];
+            *average += (f64::from(*others) - *average) * LOAD_GAIN;
             for balancer in &mut self.balancers {
-                balancer.set_others_in_flight(*key, *others);
+                balancer.set_others_in_flight(self.keys[server], rounded(*average));
             }
         }
     }
