--- a/crates/bench/src/figures.rs
+++ b/crates/bench/src/figures.rs
@@ -1,5 +1,7 @@
 //! Figures of one run and of several seeds together.
 
+use std::collections::BTreeMap;
+
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
@@ -49,6 +51,8 @@
     pub repeat_dispatches: u64,
     /// Figures by service and organisation.
     pub organisations: Vec<OrganisationFigures>,
+    /// Requests by the final result code that their callers got; answers are not among them.
+    pub codes: BTreeMap<u16, u64>,
     /// Latency of delivered requests at the caller, in microseconds.
     pub latency_us: Histogram<u64>,
 }
@@ -110,6 +114,8 @@
     pub over_admission: f64,
     /// Retries and hedges in percent of first dispatches.
     pub added_load_percent: f64,
+    /// Requests by the final result code that their callers got; answers are not among them.
+    pub codes: BTreeMap<u16, u64>,
     /// Median latency of delivered requests in milliseconds.
     pub latency_p50_ms: f64,
     /// 99 % quantile of the latency of delivered requests in milliseconds.
@@ -156,6 +162,7 @@
                 .map(|f| f.over_admission)
                 .fold(0.0, f64::max),
             added_load_percent: ratio(repeats, total(|run| run.first_dispatches), 0.0) * 100.0,
+            codes: codes(runs),
             latency_p50_ms: float(latency_us.value_at_quantile(0.5)) / 1000.0,
             latency_p99_ms: float(latency_us.value_at_quantile(0.99)) / 1000.0,
         }
@@ -185,6 +192,14 @@
     }
 }
 
+fn codes(runs: &[(u64, RunFigures)]) -> BTreeMap<u16, u64> {
+    let mut codes = BTreeMap::new();
+    for (code, count) in runs.iter().flat_map(|(_, run)| &run.codes) {
+        *codes.entry(*code).or_default() += count;
+    }
+    codes
+}
+
 fn worst_served(runs: &[(u64, RunFigures)]) -> Option<WorstServed> {
     let all = runs.iter().flat_map(|(seed, run)| {
         run.organisations
