Run the replicated log through seeded schedules of faults

Schedules of loss, delay, reordering, duplication, one-way partitions, crashes in writes, lost unsynced writes and replaced disks check after each step that there is at most one leader a term, that nothing committed changes or reverts, that each revision has one winner and that reads are linearisable.

Change: a learner counts as caught up only when its disk holds the newest membership entry. Schedules no longer destroy disks beyond what one membership change at a time can survive.

--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -1,6 +1,7 @@
 //! Timing and bounds of a replica.
 
 use crate::membership::MAX_VOTERS;
+use crate::message::{MAX_BATCH_BYTES, MAX_CHUNK_BYTES};
 
 /// Timing in ticks and bounds of a replica. The default assumes a tick of 50 ms (design 3).
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -21,6 +22,11 @@
     pub caught_up_lag: u64,
     /// Messages with entries that may be unanswered per follower.
     pub max_unanswered_batches: usize,
+    /// Bytes of entries in one message, at most [`MAX_BATCH_BYTES`]; a single larger entry is sent
+    /// alone.
+    pub max_batch_bytes: usize,
+    /// Bytes of a snapshot in one message, at most [`MAX_CHUNK_BYTES`].
+    pub max_chunk_bytes: usize,
     /// Bytes of entries that may be proposed and not yet committed.
     pub max_uncommitted_bytes: usize,
     /// Bytes of entries in memory above which the leader takes no proposals until the log is
@@ -42,6 +48,8 @@
             target_voters: 3,
             caught_up_lag: 16,
             max_unanswered_batches: 8,
+            max_batch_bytes: MAX_BATCH_BYTES,
+            max_chunk_bytes: MAX_CHUNK_BYTES,
             max_uncommitted_bytes: 4 << 20,
             max_log_bytes: 64 << 20,
             retained_entries: 1_000,
@@ -58,5 +66,7 @@
             && self.repair_after_ticks > self.election_ticks
             && (1..=MAX_VOTERS).contains(&self.target_voters)
             && self.max_unanswered_batches >= 1
+            && (1..=MAX_BATCH_BYTES).contains(&self.max_batch_bytes)
+            && (1..=MAX_CHUNK_BYTES).contains(&self.max_chunk_bytes)
     }
 }
--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -4,7 +4,7 @@
 
 use crate::entry::{Entry, Payload, ReplicaId};
 use crate::error::ProposeError;
-use crate::message::{Body, MAX_BATCH_BYTES};
+use crate::message::Body;
 use crate::progress::{Flow, Progress};
 use crate::reads::PendingRead;
 use crate::ready::ReadId;
@@ -142,7 +142,8 @@
             };
             let entries = if may_send {
                 let last = self.log.last_index();
-                self.log.slice(prev_index + 1, last, MAX_BATCH_BYTES)
+                let max_bytes = self.config.max_batch_bytes;
+                self.log.slice(prev_index + 1, last, max_bytes)
             } else {
                 Vec::new()
             };
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -9,10 +9,10 @@
 pub const MAX_MESSAGE_BYTES: usize = 256 * 1024;
 
 /// Entry bytes in one message; leaves room for the fields around them.
-pub(crate) const MAX_BATCH_BYTES: usize = MAX_MESSAGE_BYTES - 1024;
+pub const MAX_BATCH_BYTES: usize = MAX_MESSAGE_BYTES - 1024;
 
 /// Snapshot bytes in one message; leaves room for the largest membership.
-pub(crate) const CHUNK_BYTES: usize = 192 * 1024;
+pub const MAX_CHUNK_BYTES: usize = 192 * 1024;
 
 /// A message from one replica to another. Messages may be lost, delayed, reordered and duplicated.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/consensus/src/repair.rs
+++ b/crates/consensus/src/repair.rs
@@ -59,16 +59,18 @@
             && progress.silent_ticks < self.config.election_ticks
             && progress.matched + lag >= self.log.last_index()
             && progress.matched >= self.lead.first_index
+            && progress.matched >= self.membership_index()
     }
 
     /// Proposes at most one change: a caught-up learner replaces a voter that has been unreachable
     /// for [`crate::Config::repair_after_ticks`].
     ///
-    /// The learner is promoted before the lost voter is removed, so that the number of disks that
-    /// hold a committed entry does not shrink in between. With the largest voting set the lost
-    /// voter is removed first. Each step is proposed only if a quorum of the membership after it
-    /// answers and has caught up, so that a second loss cannot meet a set whose majority lacks
-    /// committed entries.
+    /// The learner is promoted before the lost voter is removed. From three voters this keeps the
+    /// group alive when one disk is lost at any moment, even if the unreachable voter was only cut
+    /// off; in the other order the loss of a disk during the interim set of two would end the
+    /// group. With the largest voting set the lost voter is removed first. Each step is proposed
+    /// only if a quorum of the membership after it answers and has caught up, so that a second loss
+    /// right after it meets a set whose majority holds every committed entry.
     pub(crate) fn repair(&mut self) {
         let transferring = self.lead.transfer.is_some();
         if !self.config.automatic_repair || transferring || self.change_is_pending() {
@@ -91,20 +93,17 @@
     fn next_repair(&self) -> Option<MembershipChange> {
         let voters = self.membership().voters().count();
         let lost_voter = self.lost(MemberRole::Voter);
-        let needed = self.config.target_voters + usize::from(lost_voter.is_some());
-        let spare = || {
-            let mut learners = self.membership().learners();
-            learners.find(|id| self.has_caught_up(*id))
-        };
-        if voters < needed
-            && voters < MAX_VOTERS
-            && let Some(spare) = spare()
+        let wanted = self.config.target_voters + usize::from(lost_voter.is_some());
+        let mut learners = self.membership().learners();
+        let spare = learners.find(|id| self.has_caught_up(*id));
+        if voters < wanted.min(MAX_VOTERS)
+            && let Some(spare) = spare
         {
             return Some(MembershipChange::Promote(spare));
         }
-        let full = voters == MAX_VOTERS && spare().is_some();
+        let no_room = voters == MAX_VOTERS && spare.is_some();
         if let Some(lost) = lost_voter
-            && (voters > self.config.target_voters || full)
+            && (voters > self.config.target_voters || no_room)
         {
             return Some(MembershipChange::Remove(lost));
         }
--- a/crates/consensus/src/snapshot_transfer.rs
+++ b/crates/consensus/src/snapshot_transfer.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::entry::{MAX_SNAPSHOT_BYTES, ReplicaId, Snapshot, SnapshotMeta};
-use crate::message::{Body, CHUNK_BYTES};
+use crate::message::Body;
 use crate::progress::Flow;
 use crate::replica::Replica;
 
@@ -45,7 +45,7 @@
         }
         let total = snapshot.data.len();
         let start = usize::try_from(offset).unwrap_or(total).min(total);
-        let end = total.min(start + CHUNK_BYTES);
+        let end = total.min(start + self.config.max_chunk_bytes);
         let body = Body::Chunk {
             meta: snapshot.meta.clone(),
             total_bytes: total as u64,
--- /dev/null
+++ b/crates/consensus/tests/simulation/world.rs
@@ -0,0 +1,421 @@
+//! The simulated group: processes, network, clients and faults, all drawn from one seed.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use radishpaddle_consensus::{
+    Body, HardState, Member, MemberRole, Membership, MembershipChange, Message, Notice, Payload,
+    PersistedState, ReadId, ReadResult, Replica, ReplicaId, Role, Snapshot, SnapshotMeta,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
+
+use crate::checker::Checker;
+use crate::machine::Submission;
+use crate::node::{Node, machine_of, memberships};
+
+/// Probabilities and bounds of the faults. Probabilities are per message, write or tick.
+#[derive(Debug, Clone)]
+pub struct Faults {
+    pub loss: f64,
+    pub duplicate: f64,
+    pub max_delay_ticks: u64,
+    pub cut_link: f64,
+    pub crash: f64,
+    pub crash_in_write: f64,
+    pub max_down_ticks: u64,
+    pub destroy: f64,
+    pub transfer: f64,
+    pub max_sync_ticks: u64,
+    pub snapshot: f64,
+}
+
+impl Faults {
+    pub const NONE: Self = Self {
+        loss: 0.0,
+        duplicate: 0.0,
+        max_delay_ticks: 1,
+        cut_link: 0.0,
+        crash: 0.0,
+        crash_in_write: 0.0,
+        max_down_ticks: 1,
+        destroy: 0.0,
+        transfer: 0.0,
+        max_sync_ticks: 0,
+        snapshot: 0.05,
+    };
+}
+
+pub struct World {
+    pub now: u64,
+    pub rng: SmallRng,
+    pub faults: Faults,
+    pub nodes: BTreeMap<ReplicaId, Node>,
+    pub checker: Checker,
+    pub writes: u64,
+    /// The process is stopped in the write with this number.
+    pub crash_at_write: Option<u64>,
+    network: Vec<(u64, Message)>,
+    cut: BTreeSet<(ReplicaId, ReplicaId)>,
+    next_id: u64,
+    open_submissions: BTreeMap<u64, ReplicaId>,
+    next_operation: u64,
+    pub replaced: u64,
+}
+
+impl World {
+    pub fn new(seed: u64, voters: u64, spares: u64, faults: Faults) -> Self {
+        let mut world = Self {
+            now: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            faults,
+            nodes: BTreeMap::new(),
+            checker: Checker::default(),
+            writes: 0,
+            crash_at_write: None,
+            network: Vec::new(),
+            cut: BTreeSet::new(),
+            next_id: voters + spares + 1,
+            open_submissions: BTreeMap::new(),
+            next_operation: 1,
+            replaced: 0,
+        };
+        for id in 1..=voters + spares {
+            let disk = initial_disk(ReplicaId(id), voters, spares);
+            let node = Node::start(disk, &mut world.rng);
+            world.nodes.insert(ReplicaId(id), node);
+        }
+        world
+    }
+
+    pub fn run(&mut self, ticks: u64) {
+        for _ in 0..ticks {
+            self.step();
+        }
+    }
+
+    /// Ends all faults; processes that are down start again.
+    pub fn heal(&mut self) {
+        self.faults = Faults::NONE;
+        self.cut.clear();
+        for node in self.nodes.values_mut() {
+            node.restart_at = self.now;
+        }
+    }
+
+    pub fn step(&mut self) {
+        self.now += 1;
+        self.inject_faults();
+        self.deliver();
+        for id in self.ids() {
+            self.step_node(id);
+        }
+        self.join_newcomers();
+        self.act_as_clients();
+        for node in self.nodes.values() {
+            self.checker.check_leader(node);
+        }
+    }
+
+    pub fn ids(&self) -> Vec<ReplicaId> {
+        self.nodes.keys().copied().collect()
+    }
+
+    fn chance(&mut self, probability: f64) -> bool {
+        probability > 0.0 && self.rng.random_bool(probability)
+    }
+
+    fn any_id(&mut self) -> ReplicaId {
+        let ids = self.ids();
+        ids[self.rng.random_range(0..ids.len())]
+    }
+
+    fn inject_faults(&mut self) {
+        if self.chance(self.faults.cut_link) {
+            let link = (self.any_id(), self.any_id());
+            if !self.cut.remove(&link) {
+                self.cut.insert(link);
+            }
+        }
+        if self.chance(self.faults.crash) {
+            let id = self.any_id();
+            self.crash(id);
+        }
+        if self.chance(self.faults.destroy) {
+            let id = self.any_id();
+            if self.survives_loss_of(id) {
+                self.replace(id);
+            }
+        }
+    }
+
+    pub fn crash(&mut self, id: ReplicaId) {
+        let down = self.rng.random_range(1..=self.faults.max_down_ticks);
+        if let Some(node) = self.nodes.get_mut(&id) {
+            node.crash(&mut self.rng);
+            node.restart_at = self.now + down;
+        }
+    }
+
+    /// Whether every voting set that some replica knows, could learn from a message under way or
+    /// could propose next keeps a majority of its disks. Beyond that no protocol can recover.
+    pub fn survives_loss_of(&self, lost: ReplicaId) -> bool {
+        let has_disk = |id: ReplicaId| id != lost && self.nodes.contains_key(&id);
+        let on_nodes = self.nodes.values().flat_map(Node::memberships);
+        let under_way = self
+            .network
+            .iter()
+            .flat_map(|(_, message)| match &message.body {
+                Body::Append { entries, .. } => memberships(entries).collect(),
+                _ => Vec::new(),
+            });
+        let mut known = on_nodes.chain(under_way).filter(|known| known.group != 0);
+        known.all(|known| {
+            let promoted = |id| known.after(&MembershipChange::Promote(id));
+            let mut next = known.learners().filter_map(promoted);
+            known.is_quorum(has_disk) && next.all(|next| next.is_quorum(has_disk))
+        })
+    }
+
+    /// Loses a process with its disk; a new one with an empty disk takes its place.
+    pub fn replace(&mut self, id: ReplicaId) {
+        self.nodes.remove(&id);
+        let id = ReplicaId(self.next_id);
+        self.next_id += 1;
+        self.replaced += 1;
+        let node = Node::start(PersistedState::empty(id), &mut self.rng);
+        self.nodes.insert(id, node);
+    }
+
+    /// Some voter of the newest committed membership that still has its disk.
+    pub fn a_voter(&mut self) -> ReplicaId {
+        let leader = self.nodes.values().find_map(|node| {
+            let replica = node.replica.as_ref()?;
+            (replica.role() == Role::Leader).then_some(replica)
+        });
+        let membership = leader.expect("a leader").membership();
+        let voters = membership.voters().filter(|id| self.nodes.contains_key(id));
+        let voters: Vec<_> = voters.collect();
+        voters[self.rng.random_range(0..voters.len())]
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let due = |(at, _): &mut (u64, Message)| *at <= now;
+        let due: Vec<_> = self.network.extract_if(.., due).collect();
+        for (_, message) in due {
+            let node = self.nodes.get_mut(&message.to);
+            if let Some(replica) = node.and_then(|node| node.replica.as_mut()) {
+                replica.receive(message);
+            }
+        }
+    }
+
+    fn send(&mut self, messages: Vec<Message>) {
+        for message in messages {
+            let lost = self.chance(self.faults.loss);
+            if lost || self.cut.contains(&(message.from, message.to)) {
+                continue;
+            }
+            let message = Message::decode(&message.encode()).expect("messages decode");
+            if self.chance(self.faults.duplicate) {
+                self.enqueue(message.clone());
+            }
+            self.enqueue(message);
+        }
+    }
+
+    fn enqueue(&mut self, message: Message) {
+        let delay = self.rng.random_range(1..=self.faults.max_delay_ticks);
+        self.network.push((self.now + delay, message));
+    }
+
+    fn step_node(&mut self, id: ReplicaId) {
+        let now = self.now;
+        let snapshot = self.chance(self.faults.snapshot);
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+        if node.replica.is_none() && node.restart_at <= now {
+            node.restart(&mut self.rng);
+        }
+        if snapshot {
+            node.take_snapshot();
+        }
+        if let Some(replica) = &mut node.replica {
+            replica.tick();
+        }
+        self.drain(id);
+    }
+
+    /// Carries out the work of a replica, with a crash in the middle of a write if one is due.
+    fn drain(&mut self, id: ReplicaId) {
+        loop {
+            let now = self.now;
+            let Some(node) = self.nodes.get_mut(&id) else {
+                return;
+            };
+            if node
+                .pending
+                .as_ref()
+                .is_some_and(|pending| pending.due <= now)
+            {
+                let messages = node.finish_sync();
+                self.send(messages);
+                continue;
+            }
+            let ready = node.replica.as_mut().and_then(Replica::take_ready);
+            let Some(mut ready) = ready else { return };
+            self.send(std::mem::take(&mut ready.messages));
+            if !ready.writes.is_empty() {
+                let due = now + self.rng.random_range(0..=self.faults.max_sync_ticks);
+                self.nodes.get_mut(&id).unwrap().begin_sync(&mut ready, due);
+                if self.crashes_in_this_write() {
+                    self.crash(id);
+                    return;
+                }
+            }
+            self.apply(id, ready);
+        }
+    }
+
+    fn crashes_in_this_write(&mut self) -> bool {
+        self.writes += 1;
+        self.crash_at_write == Some(self.writes) || self.chance(self.faults.crash_in_write)
+    }
+
+    fn apply(&mut self, id: ReplicaId, ready: radishpaddle_consensus::Ready) {
+        let node = self.nodes.get_mut(&id).unwrap();
+        if let Some(snapshot) = &ready.install {
+            let machine = machine_of(snapshot);
+            self.checker.check_install(&node.machine, &machine);
+            node.machine = machine;
+        }
+        for entry in &ready.committed {
+            self.checker.check_applied(&node.machine, entry);
+            node.machine.applied = entry.index;
+            let Payload::Data(data) = &entry.payload else {
+                continue;
+            };
+            let submission = Submission::decode(data);
+            let won = node.machine.apply(submission);
+            if let Some(revision) = won {
+                self.checker.check_winner(revision, submission.id);
+            }
+            if self.open_submissions.get(&submission.id) == Some(&id) {
+                self.open_submissions.remove(&submission.id);
+                self.checker.acknowledge(won.unwrap_or(0));
+            }
+        }
+        let revision = node.machine.revision();
+        for read in ready.reads {
+            if let ReadResult::Confirmed(ReadId(read)) = read {
+                self.checker.check_read(read, revision);
+            }
+        }
+        if ready.notices.contains(&Notice::Removed) {
+            let membership = self.checker.membership().expect("a removal is committed");
+            assert!(!membership.is_voter(id), "a voter was told to leave");
+            self.replace(id);
+        }
+    }
+
+    fn join_newcomers(&mut self) {
+        for id in self.ids() {
+            let newcomers = self.ids();
+            let Some(replica) = self
+                .nodes
+                .get_mut(&id)
+                .and_then(|node| node.replica.as_mut())
+            else {
+                continue;
+            };
+            if replica.role() != Role::Leader {
+                continue;
+            }
+            let absent = |id: &&ReplicaId| replica.membership().role(**id).is_none();
+            if let Some(id) = newcomers.iter().find(absent).copied() {
+                let address = "newcomer".into();
+                let change = MembershipChange::AddLearner { id, address };
+                let _ = replica.propose_membership(&change);
+            }
+        }
+    }
+
+    fn act_as_clients(&mut self) {
+        let id = self.any_id();
+        match self.rng.random_range(0..10) {
+            0..5 => self.submit(id),
+            5..8 => self.read(id),
+            _ => {}
+        }
+        let transfer = self.chance(self.faults.transfer);
+        if let Some(replica) = self.replica(id).filter(|_| transfer) {
+            let _ = replica.transfer_leadership(None);
+        }
+    }
+
+    fn replica(&mut self, id: ReplicaId) -> Option<&mut Replica> {
+        self.nodes.get_mut(&id)?.replica.as_mut()
+    }
+
+    /// Submits a change to a replica; it is acknowledged when this replica applies it.
+    pub fn submit(&mut self, to: ReplicaId) {
+        let id = self.next_operation;
+        self.next_operation += 1;
+        let expected = self.nodes[&to].machine.revision();
+        let submission = Submission { id, expected };
+        let Some(replica) = self.replica(to) else {
+            return;
+        };
+        if replica.propose(submission.encode()).is_ok() {
+            self.open_submissions.insert(id, to);
+        }
+    }
+
+    fn read(&mut self, from: ReplicaId) {
+        let id = self.next_operation;
+        self.next_operation += 1;
+        let floor = self.checker.seen_revision;
+        let Some(replica) = self.replica(from) else {
+            return;
+        };
+        if replica.read(ReadId(id)).is_ok() {
+            self.checker.read_floors.insert(id, floor);
+        }
+    }
+}
+
+fn initial_disk(id: ReplicaId, voters: u64, spares: u64) -> PersistedState {
+    let member = |number: u64| {
+        let role = if number <= voters {
+            MemberRole::Voter
+        } else {
+            MemberRole::Learner
+        };
+        let address = Arc::from("founder");
+        (ReplicaId(number), Member { role, address })
+    };
+    let membership = Membership {
+        group: 1,
+        members: (1..=voters + spares).map(member).collect(),
+    };
+    let meta = SnapshotMeta {
+        index: 1,
+        term: 1,
+        membership,
+        membership_index: 1,
+    };
+    PersistedState {
+        hard_state: HardState {
+            replica_id: id,
+            term: 1,
+            voted_for: None,
+        },
+        snapshot: Some(Snapshot {
+            meta,
+            data: Arc::from([]),
+        }),
+        entries: Vec::new(),
+    }
+}
