--- a/crates/storage/src/storage.rs
+++ b/crates/storage/src/storage.rs
@@ -237,6 +237,7 @@
     /// acknowledged, and the handle refuses further writes. Entries that do not continue the log
     /// or are too large are refused before anything is written.
     pub fn write(&mut self, batch: &Batch) -> Result<(), StorageError> {
+        self.check_usable()?;
         self.check_batch(batch)?;
         self.guarded(|storage| {
             if let Some(hard_state) = &batch.hard_state {
@@ -278,6 +279,7 @@
     /// The snapshot is not newer than the last one or beyond the log, or the disk fails as in
     /// [`Storage::write`].
     pub fn save_snapshot(&mut self, snapshot: &StoredSnapshot) -> Result<(), StorageError> {
+        self.check_usable()?;
         if snapshot.index <= self.snapshot_index || snapshot.index > self.last.0 {
             return Err(StorageError::OutOfOrder {
                 expected: self.snapshot_index + 1,
@@ -291,15 +293,20 @@
         })
     }
 
-    fn guarded(
-        &mut self,
-        write: impl FnOnce(&mut Self) -> Result<(), StorageError>,
-    ) -> Result<(), StorageError> {
+    fn check_usable(&self) -> Result<(), StorageError> {
         if self.failed {
             return Err(StorageError::Failed {
                 path: self.directory.path.clone(),
             });
         }
+        Ok(())
+    }
+
+    /// Carries out a write; the handle stays unusable when it fails.
+    fn guarded(
+        &mut self,
+        write: impl FnOnce(&mut Self) -> Result<(), StorageError>,
+    ) -> Result<(), StorageError> {
         self.failed = true;
         write(self)?;
         self.failed = false;
