--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -27,6 +27,7 @@
 mod repair;
 pub mod replica;
 mod snapshot_transfer;
+pub mod submissions;
 
 pub use codec::DecodeError;
 pub use config::Config;
@@ -37,3 +38,4 @@
 pub use persisted::PersistedState;
 pub use ready::{HardState, Notice, ReadId, ReadResult, Ready, Writes};
 pub use replica::{Replica, Role};
+pub use submissions::{StateError, Submission, SubmissionResult, Submissions};
