--- /dev/null
+++ b/crates/consensus/tests/rules.rs
@@ -0,0 +1,289 @@
+//! Rules of the protocol that random schedules seldom reach, on one replica driven by hand.
+
+use std::sync::Arc;
+
+use radishpaddle_consensus::{
+    Body, Config, Entry, HardState, Member, MemberRole, Membership, Message, Payload,
+    PersistedState, ReadId, ReadResult, Ready, Replica, ReplicaId, Role, Snapshot, SnapshotMeta,
+};
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+
+const ME: ReplicaId = ReplicaId(1);
+const SECOND: ReplicaId = ReplicaId(2);
+const THIRD: ReplicaId = ReplicaId(3);
+
+fn data(index: u64, term: u64) -> Entry {
+    let payload = Payload::Data(Arc::from(b"data".as_slice()));
+    Entry {
+        index,
+        term,
+        payload,
+    }
+}
+
+/// One of three voters in term 2, with the given entries behind index 1.
+fn replica(entries: Vec<Entry>) -> Replica {
+    let member = |id| {
+        let address = Arc::from("address");
+        let role = MemberRole::Voter;
+        (id, Member { role, address })
+    };
+    let membership = Membership {
+        group: 9,
+        members: [ME, SECOND, THIRD].map(member).into(),
+    };
+    let meta = SnapshotMeta {
+        index: 1,
+        term: 1,
+        membership,
+        membership_index: 1,
+    };
+    let hard_state = HardState {
+        replica_id: ME,
+        term: 2,
+        voted_for: None,
+    };
+    let state = PersistedState {
+        hard_state,
+        snapshot: Some(Snapshot {
+            meta,
+            data: Arc::from([]),
+        }),
+        entries,
+    };
+    Replica::new(Config::default(), state, SmallRng::seed_from_u64(1)).unwrap()
+}
+
+fn receive(replica: &mut Replica, from: ReplicaId, term: u64, body: Body) {
+    replica.receive(Message {
+        from,
+        to: ME,
+        group: 9,
+        term,
+        body,
+    });
+}
+
+fn sync_all(replica: &mut Replica) -> Vec<Ready> {
+    let mut all = Vec::new();
+    while let Some(ready) = replica.take_ready() {
+        replica.synced(ready.number);
+        all.push(ready);
+    }
+    all
+}
+
+fn elect(replica: &mut Replica) {
+    while replica.role() == Role::Follower {
+        replica.tick();
+    }
+    receive(replica, SECOND, 3, Body::PreVoteResponse { granted: true });
+    assert_eq!(replica.role(), Role::Candidate);
+    sync_all(replica);
+    receive(replica, SECOND, 3, Body::VoteResponse { granted: true });
+    assert_eq!(replica.role(), Role::Leader);
+}
+
+fn vote(last_index: u64, last_term: u64) -> Body {
+    Body::Vote {
+        last_index,
+        last_term,
+        membership_index: 1,
+        transfer: false,
+    }
+}
+
+fn kinds(messages: &[Message], matches: fn(&Body) -> bool) -> usize {
+    let bodies = messages.iter().map(|message| &message.body);
+    bodies.filter(|body| matches(body)).count()
+}
+
+/// Guards against a vote that a crash forgets after it was sent.
+#[test]
+fn vote_is_sent_after_it_is_durable() {
+    let mut replica = replica(Vec::new());
+    receive(&mut replica, SECOND, 5, vote(9, 4));
+
+    let ready = replica.take_ready().unwrap();
+
+    let is_vote = |body: &Body| matches!(body, Body::VoteResponse { granted: true });
+    assert_eq!(ready.writes.hard_state.unwrap().voted_for, Some(SECOND));
+    assert_eq!(kinds(&ready.messages, is_vote), 0);
+    assert_eq!(kinds(&ready.messages_after_sync, is_vote), 1);
+}
+
+/// Guards against a candidate that asks for votes in a term that it may forget.
+#[test]
+fn vote_request_is_sent_after_the_term_is_durable() {
+    let mut replica = replica(Vec::new());
+    while replica.role() == Role::Follower {
+        replica.tick();
+    }
+    receive(
+        &mut replica,
+        SECOND,
+        3,
+        Body::PreVoteResponse { granted: true },
+    );
+
+    let ready = replica.take_ready().unwrap();
+
+    let is_request = |body: &Body| matches!(body, Body::Vote { .. });
+    assert_eq!(ready.writes.hard_state.unwrap().term, 3);
+    assert_eq!(kinds(&ready.messages, is_request), 0);
+    assert_eq!(kinds(&ready.messages_after_sync, is_request), 2);
+}
+
+/// Guards against a candidate that leads on a vote of its own that is not durable.
+#[test]
+fn own_vote_counts_after_it_is_durable() {
+    let mut replica = replica(Vec::new());
+    while replica.role() == Role::Follower {
+        replica.tick();
+    }
+    receive(
+        &mut replica,
+        SECOND,
+        3,
+        Body::PreVoteResponse { granted: true },
+    );
+    let ready = replica.take_ready().unwrap();
+    receive(
+        &mut replica,
+        SECOND,
+        3,
+        Body::VoteResponse { granted: true },
+    );
+    assert_eq!(replica.role(), Role::Candidate);
+
+    replica.synced(ready.number);
+
+    assert_eq!(replica.role(), Role::Leader);
+}
+
+/// Guards against an acknowledgement of entries that a crash loses.
+#[test]
+fn entries_are_acknowledged_after_they_are_durable() {
+    let mut replica = replica(Vec::new());
+    let append = Body::Append {
+        prev_index: 1,
+        prev_term: 1,
+        commit: 2,
+        round: 0,
+        entries: vec![data(2, 2)],
+    };
+    receive(&mut replica, SECOND, 2, append);
+
+    let ready = replica.take_ready().unwrap();
+
+    let accepts_entry = |body: &Body| matches!(body, Body::Accepted { matched: 2, .. });
+    assert_eq!(ready.writes.entries, [data(2, 2)]);
+    assert_eq!(kinds(&ready.messages, accepts_entry), 0);
+    assert_eq!(kinds(&ready.messages_after_sync, accepts_entry), 1);
+    assert_eq!(
+        ready.committed,
+        [],
+        "an entry that is not durable is applied"
+    );
+}
+
+/// Guards against two votes in one term.
+#[test]
+fn second_candidate_of_a_term_gets_no_vote() {
+    let mut replica = replica(Vec::new());
+    receive(&mut replica, SECOND, 5, vote(9, 4));
+    sync_all(&mut replica);
+
+    receive(&mut replica, THIRD, 5, vote(9, 4));
+
+    let ready = replica.take_ready().unwrap();
+    let refusal = Body::VoteResponse { granted: false };
+    assert_eq!(ready.messages[0].body, refusal);
+}
+
+/// Guards against counting replicas for an entry of an earlier term (Raft paper, figure 8): a
+/// later leader could still replace it.
+#[test]
+fn entry_of_an_earlier_term_is_not_committed_by_counting() {
+    let mut replica = replica(vec![data(2, 2)]);
+    elect(&mut replica);
+    sync_all(&mut replica);
+    let accepted = |matched| Body::Accepted { matched, round: 0 };
+
+    receive(&mut replica, SECOND, 3, accepted(2));
+    assert_eq!(replica.commit_index(), 1);
+    receive(&mut replica, SECOND, 3, accepted(3));
+    assert_eq!(replica.commit_index(), 3);
+}
+
+/// Guards against a leader that commits with its own copy before that copy is durable.
+#[test]
+fn own_entry_counts_after_it_is_durable() {
+    let mut replica = replica(Vec::new());
+    elect(&mut replica);
+    let ready = replica.take_ready().unwrap();
+    let accepted = Body::Accepted {
+        matched: 2,
+        round: 0,
+    };
+    receive(&mut replica, SECOND, 3, accepted);
+    assert_eq!(replica.commit_index(), 1);
+
+    replica.synced(ready.number);
+
+    assert_eq!(replica.commit_index(), 2);
+}
+
+/// Guards against a read by a leader that was replaced without noticing.
+#[test]
+fn read_waits_for_a_quorum_after_it_was_asked() {
+    let mut replica = replica(Vec::new());
+    elect(&mut replica);
+    sync_all(&mut replica);
+    let accepted = |round| Body::Accepted { matched: 2, round };
+    receive(&mut replica, SECOND, 3, accepted(0));
+    replica.read(ReadId(7)).unwrap();
+    sync_all(&mut replica);
+
+    receive(&mut replica, SECOND, 3, accepted(0));
+    let early = sync_all(&mut replica);
+    receive(&mut replica, SECOND, 3, accepted(1));
+    let late = sync_all(&mut replica);
+
+    let reads = |all: &[Ready]| -> Vec<ReadResult> {
+        all.iter().flat_map(|ready| ready.reads.clone()).collect()
+    };
+    assert_eq!(reads(&early), []);
+    assert_eq!(reads(&late), [ReadResult::Confirmed(ReadId(7))]);
+}
+
+/// Guards against a leader that goes on for a group that it cannot hear.
+#[test]
+fn leader_without_a_quorum_steps_down() {
+    let mut replica = replica(Vec::new());
+    elect(&mut replica);
+
+    for _ in 0..Config::default().election_ticks {
+        replica.tick();
+    }
+
+    assert_ne!(replica.role(), Role::Leader);
+    assert!(replica.propose(Arc::from([])).is_err());
+}
+
+/// Guards against a replica without a log that takes part in an election, as one would whose disk
+/// was emptied under its old identity.
+#[test]
+fn replica_that_has_not_joined_does_not_vote() {
+    let rng = SmallRng::seed_from_u64(1);
+    let state = PersistedState::empty(ME);
+    let mut replica = Replica::new(Config::default(), state, rng).unwrap();
+
+    receive(&mut replica, SECOND, 5, vote(9, 4));
+    for _ in 0..100 {
+        replica.tick();
+    }
+
+    assert_eq!(replica.take_ready(), None);
+}
