--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -2,6 +2,8 @@
 
 use std::collections::VecDeque;
 
+use crate::entry::Snapshot;
+
 /// How entries are sent to a replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Flow {
@@ -9,8 +11,8 @@
     Probe,
     /// Entries are sent ahead of the answers.
     Replicate,
-    /// A snapshot is sent; holds its index and the offset of the next part.
-    Snapshot { index: u64, offset: u64 },
+    /// A snapshot is sent; holds the offset of the next part.
+    Snapshot { offset: u64 },
 }
 
 /// Replication state of one replica.
@@ -21,6 +23,9 @@
     /// Last index known to be durable and equal.
     pub(crate) matched: u64,
     pub(crate) flow: Flow,
+    /// The snapshot that is sent. It is kept until its end even if newer ones are taken, because a
+    /// transfer that began again with each of them might never end.
+    pub(crate) outgoing: Option<Snapshot>,
     /// Whether the message of `Probe` or `Snapshot` is unanswered since the last heartbeat.
     pub(crate) probe_sent: bool,
     /// Last index of each unanswered batch.
@@ -37,6 +42,7 @@
             next,
             matched: 0,
             flow: Flow::Probe,
+            outgoing: None,
             probe_sent: false,
             unanswered: VecDeque::new(),
             silent_ticks: 0,
@@ -63,7 +69,7 @@
         }
         match self.flow {
             Flow::Probe if grew || self.next == self.matched + 1 => self.replicate(),
-            Flow::Snapshot { index, .. } if self.matched >= index => self.replicate(),
+            Flow::Snapshot { .. } if self.matched >= self.outgoing_index() => self.replicate(),
             _ => {}
         }
         grew
@@ -71,6 +77,7 @@
 
     fn replicate(&mut self) {
         self.flow = Flow::Replicate;
+        self.outgoing = None;
         self.next = self.matched + 1;
         self.probe_sent = false;
         self.unanswered.clear();
@@ -93,8 +100,15 @@
         self.unanswered.clear();
     }
 
-    pub(crate) fn start_snapshot(&mut self, index: u64) {
-        self.flow = Flow::Snapshot { index, offset: 0 };
+    /// Index of the snapshot that is sent; 0 when there is none.
+    pub(crate) fn outgoing_index(&self) -> u64 {
+        let index = |snapshot: &Snapshot| snapshot.meta.index;
+        self.outgoing.as_ref().map_or(0, index)
+    }
+
+    pub(crate) fn start_snapshot(&mut self, snapshot: Snapshot) {
+        self.flow = Flow::Snapshot { offset: 0 };
+        self.outgoing = Some(snapshot);
         self.probe_sent = false;
         self.unanswered.clear();
     }
--- a/crates/consensus/src/snapshot_transfer.rs
+++ b/crates/consensus/src/snapshot_transfer.rs
@@ -17,12 +17,11 @@
 
 impl Replica {
     pub(crate) fn start_snapshot(&mut self, peer: ReplicaId) {
-        let Some(index) = self.snapshot.as_ref().map(|snapshot| snapshot.meta.index) else {
+        let (Some(progress), Some(snapshot)) = (self.lead.progress.get_mut(&peer), &self.snapshot)
+        else {
             return;
         };
-        if let Some(progress) = self.lead.progress.get_mut(&peer) {
-            progress.start_snapshot(index);
-        }
+        progress.start_snapshot(snapshot.clone());
         self.send_chunk(peer);
     }
 
@@ -31,15 +30,10 @@
         let Some(progress) = self.lead.progress.get_mut(&peer) else {
             return;
         };
-        let (Flow::Snapshot { index, offset }, Some(snapshot)) = (progress.flow, &self.snapshot)
+        let (Flow::Snapshot { offset }, Some(snapshot)) = (progress.flow, &progress.outgoing)
         else {
             return;
         };
-        if snapshot.meta.index != index {
-            progress.start_snapshot(snapshot.meta.index);
-            self.send_chunk(peer);
-            return;
-        }
         if std::mem::replace(&mut progress.probe_sent, true) {
             return;
         }
@@ -60,10 +54,10 @@
         let Some(progress) = self.lead.progress.get_mut(&from) else {
             return;
         };
-        let expected = matches!(progress.flow, Flow::Snapshot { index: sent, .. } if sent == index);
-        if expected {
+        let sending = matches!(progress.flow, Flow::Snapshot { .. });
+        if sending && progress.outgoing_index() == index {
             let offset = next_offset;
-            progress.flow = Flow::Snapshot { index, offset };
+            progress.flow = Flow::Snapshot { offset };
             progress.probe_sent = false;
         }
     }
--- a/crates/consensus/tests/simulation/main.rs
+++ b/crates/consensus/tests/simulation/main.rs
@@ -10,7 +10,7 @@
 use std::panic::{AssertUnwindSafe, catch_unwind, resume_unwind};
 use std::sync::Mutex;
 
-use radishpaddle_consensus::{Membership, ReplicaId, Role};
+use radishpaddle_consensus::{Membership, ReplicaId};
 
 use crate::world::{Faults, World};
 
@@ -85,11 +85,7 @@
 }
 
 fn leader(world: &World) -> ReplicaId {
-    let newest = world.nodes.values().filter_map(|node| {
-        let replica = node.replica.as_ref()?;
-        (replica.role() == Role::Leader).then_some((replica.term(), node.id))
-    });
-    newest.max().expect("a leader").1
+    world.current_leader().expect("a leader")
 }
 
 /// What a set of schedules went through; guards against schedules that test nothing.
@@ -226,6 +222,33 @@
     }
 }
 
+/// Guards against a transfer that starts again with each new snapshot: it has to end although a
+/// newer snapshot is taken while each part is sent.
+#[test]
+fn snapshot_transfer_ends_while_newer_snapshots_are_taken() {
+    let mut longest = 0;
+    for seed in 70_000..70_020 {
+        let faults = Faults {
+            snapshot: 1.0,
+            ..Faults::NONE
+        };
+        let mut world = World::new(seed, 3, 0, faults);
+        world.run(500);
+        let lost = world.a_voter();
+        world.replace(lost);
+        let newcomer = ReplicaId(4);
+        while world.nodes[&newcomer].machine.applied == 0 && world.now < 1_500 {
+            if let Some(leader) = world.current_leader() {
+                world.submit(leader);
+            }
+            world.step();
+        }
+        longest = longest.max(world.now - 500);
+    }
+    println!("a newcomer had a snapshot after at most {longest} ticks");
+    assert!(longest < 200, "a transfer took {longest} ticks");
+}
+
 /// Schedules that failed once, each with the fault that it showed.
 #[test]
 fn kept_seeds() {
--- a/crates/consensus/tests/simulation/node.rs
+++ b/crates/consensus/tests/simulation/node.rs
@@ -1,8 +1,7 @@
 //! One simulated process: a replica, its disk and its application.
 
 use radishpaddle_consensus::{
-    Config, Entry, Membership, Message, Payload, PersistedState, Ready, Replica, ReplicaId,
-    Snapshot, Writes,
+    Config, Entry, Membership, Message, Payload, PersistedState, Ready, Replica, Snapshot, Writes,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
@@ -18,7 +17,6 @@
 }
 
 pub struct Node {
-    pub id: ReplicaId,
     /// `None` while the process is down.
     pub replica: Option<Replica>,
     pub disk: PersistedState,
@@ -45,7 +43,6 @@
 impl Node {
     pub fn start(disk: PersistedState, election_ticks: u32, rng: &mut SmallRng) -> Self {
         let mut node = Self {
-            id: disk.hard_state.replica_id,
             replica: None,
             disk,
             machine: Machine::default(),
--- a/crates/consensus/tests/simulation/world.rs
+++ b/crates/consensus/tests/simulation/world.rs
@@ -197,13 +197,18 @@
         self.nodes.insert(id, node);
     }
 
-    /// Some voter of the newest committed membership that still has its disk.
+    /// The replica that leads in the newest term.
+    pub fn current_leader(&self) -> Option<ReplicaId> {
+        let replicas = self.nodes.values().filter_map(|node| node.replica.as_ref());
+        let leaders = replicas.filter(|replica| replica.role() == Role::Leader);
+        let newest = leaders.max_by_key(|replica| replica.term());
+        newest.map(Replica::id)
+    }
+
+    /// Some voter that still has its disk.
     pub fn a_voter(&mut self) -> ReplicaId {
-        let leader = self.nodes.values().find_map(|node| {
-            let replica = node.replica.as_ref()?;
-            (replica.role() == Role::Leader).then_some(replica)
-        });
-        let membership = leader.expect("a leader").membership();
+        let leader = self.current_leader().expect("a leader");
+        let membership = self.nodes[&leader].replica.as_ref().unwrap().membership();
         let voters = membership.voters().filter(|id| self.nodes.contains_key(id));
         let voters: Vec<_> = voters.collect();
         voters[self.rng.random_range(0..voters.len())]
