--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -32,7 +32,8 @@
     /// Bytes of entries in memory above which the leader takes no proposals until the log is
     /// truncated behind a snapshot.
     pub max_log_bytes: usize,
-    /// Entries kept in memory behind a snapshot, so that a slow follower needs no snapshot.
+    /// Entries kept in memory behind a snapshot, so that a slow follower needs no snapshot; fewer
+    /// when they take more than a quarter of [`Config::max_log_bytes`].
     pub retained_entries: u64,
     /// Reads that may wait for confirmation.
     pub max_pending_reads: usize,
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -125,9 +125,14 @@
         self.stable = self.stable.max(index.min(self.handed));
     }
 
-    /// Drops entries up to `index` from memory.
-    pub(crate) fn compact(&mut self, index: u64) {
-        while self.base_index < index {
+    /// Drops entries up to `index` from memory, except for the newest ones as far as neither of
+    /// the limits is exceeded.
+    pub(crate) fn compact(&mut self, index: u64, keep_entries: u64, keep_bytes: usize) {
+        let must_go = |log: &Self| {
+            let kept = index - log.base_index;
+            kept > keep_entries || log.bytes > keep_bytes
+        };
+        while self.base_index < index && must_go(self) {
             let Some(entry) = self.entries.pop_front() else {
                 break;
             };
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -20,6 +20,13 @@
 use crate::ready::{HardState, Notice, ReadId, ReadResult};
 use crate::snapshot_transfer::Incoming;
 
+/// Part of [`Config::max_log_bytes`] that entries behind a snapshot may take, so that a snapshot
+/// always makes room for proposals.
+const RETAINED_PART: usize = 4;
+
+/// Most entries that may be proposed and not yet committed; bounds the work of a proposal.
+const MAX_UNCOMMITTED_ENTRIES: u64 = 1_024;
+
 /// What a replica is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
@@ -291,6 +298,9 @@
                 limit: MAX_ENTRY_BYTES,
             });
         }
+        if self.last_index() - self.commit >= MAX_UNCOMMITTED_ENTRIES {
+            return Err(ProposeError::Busy);
+        }
         let uncommitted = self.log.bytes_after(self.commit);
         if uncommitted + data.len() > self.config.max_uncommitted_bytes
             || self.log.bytes() + data.len() > self.config.max_log_bytes
@@ -358,8 +368,9 @@
         while self.memberships.len() > 1 && self.memberships[1].0 <= index {
             self.memberships.pop_front();
         }
+        let keep_bytes = self.config.max_log_bytes / RETAINED_PART;
         self.log
-            .compact(index.saturating_sub(self.config.retained_entries));
+            .compact(index, self.config.retained_entries, keep_bytes);
     }
 
     pub(crate) fn hard_state_is_synced(&self) -> bool {
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -24,6 +24,10 @@
 
 /// One of three voters in term 2, with the given entries behind index 1.
 fn replica(entries: Vec<Entry>) -> Replica {
+    replica_with(Config::default(), entries)
+}
+
+fn replica_with(config: Config, entries: Vec<Entry>) -> Replica {
     let member = |id| {
         let address = Arc::from("address");
         let role = MemberRole::Voter;
@@ -52,7 +56,7 @@
         }),
         entries,
     };
-    Replica::new(Config::default(), state, SmallRng::seed_from_u64(1)).unwrap()
+    Replica::new(config, state, SmallRng::seed_from_u64(1)).unwrap()
 }
 
 fn receive(replica: &mut Replica, from: ReplicaId, term: u64, body: Body) {
@@ -272,6 +276,37 @@
     assert!(replica.propose(Arc::from([])).is_err());
 }
 
+/// Guards against a log that grows without bound, and against one that stays full after a snapshot
+/// because of the entries kept for slow followers.
+#[test]
+fn full_log_takes_proposals_again_after_a_snapshot() {
+    let config = Config {
+        max_log_bytes: 1 << 20,
+        ..Config::default()
+    };
+    let mut replica = replica_with(config, Vec::new());
+    elect(&mut replica);
+    let payload: Arc<[u8]> = vec![0; 100 << 10].into();
+    while replica.propose(Arc::clone(&payload)).is_ok() {
+        sync_all(&mut replica);
+        let matched = replica.last_index();
+        receive(
+            &mut replica,
+            SECOND,
+            3,
+            Body::Accepted { matched, round: 0 },
+        );
+        assert!(replica.log_bytes() < 2 << 20);
+    }
+    sync_all(&mut replica);
+
+    let index = replica.applied_index();
+    let snapshot = replica.make_snapshot(index, Arc::from([])).unwrap();
+    replica.compact(snapshot);
+
+    assert!(replica.propose(payload).is_ok());
+}
+
 /// Guards against a replica without a log that takes part in an election, as one would whose disk
 /// was emptied under its old identity.
 #[test]
