Use the submission state machine of the consensus crate in control

Cause: control had a state machine of its own; the one of the consensus crate also remembers withdrawn keys and has tests under schedules of faults. Change: control keeps submissions and witness generations in one state; the check that a host belongs to one service moved into the state machine, so that racing submissions have one winner.

--- a/crates/consensus/src/submissions.rs
+++ b/crates/consensus/src/submissions.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use radishpaddle_model::{
-    Change, ChangeRecord, FleetConfig, KeyId, ResultCode, Revision, SubmissionId,
+    Change, ChangeRecord, FleetConfig, KeyId, ResultCode, Revision, ServiceDocument, SubmissionId,
 };
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
@@ -62,6 +62,8 @@
     KeyNotNew,
     /// There is no such service or key.
     NotFound,
+    /// Another service has one of the hosts of the document.
+    HostTaken,
     /// The submission id belongs to a submission with other content.
     IdReused,
 }
@@ -135,7 +137,9 @@
     pub const fn code(&self) -> ResultCode {
         match self {
             Self::Committed { .. } => ResultCode::Committed,
-            Self::RevisionConflict { .. } | Self::KeyNotNew => ResultCode::RevisionConflict,
+            Self::RevisionConflict { .. } | Self::KeyNotNew | Self::HostTaken => {
+                ResultCode::RevisionConflict
+            }
             Self::NotFound => ResultCode::NotFound,
             Self::IdReused => ResultCode::SubmissionIdReused,
         }
@@ -188,7 +192,11 @@
         match &submission.change {
             Change::PutService { document } => {
                 let current = self.config.service_revision(&document.service);
-                conflict(current, submission.replaces)
+                let taken = || {
+                    self.has_host_of(document)
+                        .then_some(SubmissionResult::HostTaken)
+                };
+                conflict(current, submission.replaces).or_else(taken)
             }
             Change::RemoveService { service } => {
                 if !self.config.services.contains_key(service) {
@@ -212,6 +220,14 @@
         self.config.keys.values().any(|key| &key.key_id == key_id)
     }
 
+    /// Whether another service has a host of the document, so that a request would have two routes.
+    fn has_host_of(&self, document: &ServiceDocument) -> bool {
+        self.config.services.iter().any(|(service, entry)| {
+            let hosts = &entry.document.hosts;
+            *service != document.service && document.hosts.iter().any(|host| hosts.contains(host))
+        })
+    }
+
     fn accept(&mut self, change: Change, bytes: usize) -> SubmissionResult {
         let revision = self.config.revision.next();
         if let Change::WithdrawKey { key_id } = &change {
@@ -254,6 +270,11 @@
         }
     }
 
+    /// Newest changes, the latest first.
+    pub fn recent_changes(&self) -> impl Iterator<Item = &ChangeRecord> {
+        self.records.iter().rev().map(|(record, _)| record)
+    }
+
     /// Changes after a revision, in order. `None` when some of them are no longer kept or the
     /// revision is unknown; the receiver then needs the whole configuration.
     #[must_use]
--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -1,7 +1,6 @@
 //! The thread that owns the data directory. Writes block until they are durable, so they run beside
 //! the runtime.
 
-use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
 
 use radishpaddle_consensus::{
@@ -151,17 +150,3 @@
 pub fn new_replica_id() -> u64 {
     SmallRng::from_os_rng().next_u64().max(1)
 }
-
-/// Application state in a snapshot; the default for a group that was just founded.
-///
-/// # Errors
-///
-/// Fails when the bytes are not a state.
-pub fn decode_state<T: serde::de::DeserializeOwned + Default>(
-    data: &Arc<[u8]>,
-) -> serde_json::Result<T> {
-    if data.is_empty() {
-        return Ok(T::default());
-    }
-    serde_json::from_slice(data)
-}
--- a/crates/control/src/distribution.rs
+++ b/crates/control/src/distribution.rs
@@ -17,9 +17,9 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior};
 
+use crate::control_state::{ControlState, GenerationRecord, LogCommand};
 use crate::replica_task::{ReplicaHandle, ReplicaView};
 use crate::settings::ControlSettings;
-use crate::submissions::{ControlState, GenerationRecord, LogCommand};
 
 /// Period of pushes without a change; they bring back witnesses that lag.
 const PUSH_PERIOD: Duration = Duration::from_millis(500);
@@ -242,7 +242,7 @@
             Err(_) => link.stored = Revision(0),
         }
         let behind = self.leading().is_some_and(|view| {
-            let newest = view.state.config.revision;
+            let newest = view.state.config().revision;
             let link = self.witnesses.get(witness);
             link.is_some_and(|link| link.stored != Revision(0) && link.stored < newest)
         });
@@ -289,7 +289,7 @@
                 }
             }
             Some(record) => {
-                self.start_witnesses(record, view.state.config.revision);
+                self.start_witnesses(record, view.state.config().revision);
                 self.replace_lost(record);
             }
         }
@@ -410,18 +410,18 @@
 /// What a witness at a revision lacks: changes when they are kept, else the whole state.
 fn config_since(state: &Arc<ControlState>, since: Revision) -> serde_json::Result<ConfigReply> {
     let mut reply = ConfigReply {
-        revision: state.config.revision.0,
+        revision: state.config().revision.0,
         since_revision: since.0,
         ..ConfigReply::default()
     };
-    match state.changes_since(since) {
+    match state.submissions.delta_since(since) {
         Some(changes) => {
             reply.change_json = changes
-                .into_iter()
+                .iter()
                 .map(serde_json::to_vec)
                 .collect::<Result<_, _>>()?;
         }
-        None => reply.state_json = serde_json::to_vec(&state.config)?,
+        None => reply.state_json = serde_json::to_vec(state.config())?,
     }
     Ok(reply)
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,6 +2,7 @@
 //! spreads the configuration to the witnesses.
 
 pub mod command;
+pub mod control_state;
 pub mod diff;
 pub mod disk;
 pub mod distribution;
@@ -11,6 +12,5 @@
 pub mod peer_handler;
 pub mod replica_task;
 pub mod settings;
-pub mod submissions;
 
 pub use settings::ControlSettings;
--- a/crates/control/src/maintenance.rs
+++ b/crates/control/src/maintenance.rs
@@ -9,9 +9,9 @@
 use radishpaddle_model::Revision;
 use radishpaddle_storage::{Export, LocalFileSystem, Storage};
 
+use crate::control_state::{ControlState, LogCommand};
 use crate::disk;
 use crate::settings::ControlSettings;
-use crate::submissions::{ControlState, LogCommand};
 
 /// Founds a new group in the empty data directory of one control instance.
 ///
@@ -63,19 +63,19 @@
     let mut state = ControlState::default();
     let mut index = 0;
     if let Some(snapshot) = &persisted.snapshot {
-        state = disk::decode_state(&snapshot.data)?;
+        state = ControlState::decode(&snapshot.data)?;
         index = snapshot.meta.index;
     }
     // Entries at the end may not be committed; an export for an emergency keeps them.
     for entry in persisted.entries.iter().filter(|entry| entry.index > index) {
         if let Payload::Data(bytes) = &entry.payload {
-            state.apply(&serde_json::from_slice::<LogCommand>(bytes)?);
+            state.apply(&serde_json::from_slice::<LogCommand>(bytes)?)?;
         }
     }
     let index = persisted.entries.last().map_or(index, |entry| entry.index);
-    let data = serde_json::to_vec(&state)?;
+    let data = state.encode()?;
     Export { index, data }.write(Arc::new(LocalFileSystem), file)?;
-    let revision = state.config.revision;
+    let revision = state.config().revision;
     println!("exported revision {revision} to {}", file.display());
     Ok(())
 }
@@ -88,12 +88,12 @@
 pub fn restore(settings_file: &Path, file: &Path, above: Revision) -> Result<()> {
     let settings: ControlSettings = settings::load(settings_file)?;
     let export = Export::read(Arc::new(LocalFileSystem), file)?;
-    let mut state: ControlState =
-        serde_json::from_slice(&export.data).context("the export holds another kind of state")?;
+    let mut state =
+        ControlState::decode(&export.data).context("the export holds another kind of state")?;
     state.continue_above(above);
-    let data: Arc<[u8]> = serde_json::to_vec(&state)?.into();
+    let data: Arc<[u8]> = state.encode()?.into();
     found_from(&settings, export.index, Some(data))?;
-    let revision = state.config.revision;
+    let revision = state.config().revision;
     println!("restored as revision {revision}; start the instance now");
     Ok(())
 }
--- a/crates/control/src/operator_api.rs
+++ b/crates/control/src/operator_api.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use anyhow::{Result, anyhow};
+use radishpaddle_consensus::submissions::{Submission, SubmissionResult};
 use radishpaddle_kernel::Journal;
 use radishpaddle_model::{
     Change, KeyHash, KeyId, OrganisationId, Refusal, ResultCode, Revision, ServiceDocument,
@@ -19,11 +20,11 @@
 use tokio::runtime::Handle;
 use tokio::sync::watch;
 
+use crate::control_state::{ControlState, LogCommand};
 use crate::diff;
 use crate::distribution::SpreadView;
 use crate::replica_task::{ReplicaError, ReplicaHandle};
 use crate::settings::OperatorSettings;
-use crate::submissions::{ControlState, LogCommand, Submission, SubmissionResult};
 
 /// Threads that answer operators. A submission holds one until it is in force.
 const THREADS: usize = 16;
@@ -137,7 +138,11 @@
             }
             ("GET", ["v1", "changes"]) => {
                 let state = self.read()?;
-                let changes: Vec<_> = state.recent_changes().take(LISTED_CHANGES).collect();
+                let changes: Vec<_> = state
+                    .submissions
+                    .recent_changes()
+                    .take(LISTED_CHANGES)
+                    .collect();
                 Ok(json_page(&json!({"changes": changes})))
             }
             ("GET", ["v1", "status"]) => Ok(json_page(&self.status())),
@@ -180,7 +185,7 @@
     fn show_service(&self, service: &str) -> Answered {
         let service: ServiceId = parse_id(service)?;
         let state = self.read()?;
-        let entry = state.config.services.get(&service);
+        let entry = state.config().services.get(&service);
         let entry = entry.ok_or_else(|| refusal(ResultCode::NotFound, "no such service"))?;
         Ok(json_page(&json!(entry)))
     }
@@ -196,10 +201,10 @@
     fn diff_service(&self, request: &Request, service: &str) -> Answered {
         let document = parse_document(request, service)?;
         let state = self.read()?;
-        let current = state.config.services.get(&document.service);
+        let current = state.config().services.get(&document.service);
         let before = current.map_or(Value::Null, |entry| json!(entry.document));
         let differences = diff::differences(&before, &json!(document));
-        let revision = state.config.service_revision(&document.service);
+        let revision = state.config().service_revision(&document.service);
         Ok(json_page(
             &json!({"revision": revision, "differences": differences}),
         ))
@@ -219,7 +224,6 @@
         };
         let submission = Submission {
             id,
-            operator: operator.into(),
             replaces,
             change,
         };
@@ -230,10 +234,9 @@
             Some(submission.id.as_str()),
             json!({"operator": operator, "result": format!("{result:?}")}),
         );
-        match (result, result.refusal()) {
-            (SubmissionResult::Accepted(revision), _) => Ok(self.wait_in_force(revision)),
-            (_, Some(code)) => Err(submission_refusal(result, code)),
-            (_, None) => Err(refusal(ResultCode::CommitUnknown, "no result")),
+        match result {
+            SubmissionResult::Committed { revision } => Ok(self.wait_in_force(revision)),
+            refused => Err(submission_refusal(&refused)),
         }
     }
 
@@ -293,7 +296,7 @@
             "term": view.term,
             "leader": view.leader,
             "applied_index": view.applied_index,
-            "revision": view.state.config.revision,
+            "revision": view.state.config().revision,
             "generation": view.state.generation,
             "storage_works": view.storage_works,
             "members": members,
@@ -326,20 +329,20 @@
     }
 }
 
-fn submission_refusal(result: SubmissionResult, code: ResultCode) -> Response {
+fn submission_refusal(result: &SubmissionResult) -> Response {
     let message = match result {
-        SubmissionResult::RevisionConflict(current) => {
+        SubmissionResult::RevisionConflict { current } => {
             format!("the current revision is {current}")
         }
-        SubmissionResult::KeyExists => "the key id or the key is in use".to_owned(),
+        SubmissionResult::KeyNotNew => "the key id or the key is or was in use".to_owned(),
         SubmissionResult::HostTaken => "another service has one of the hosts".to_owned(),
         SubmissionResult::NotFound => "there is nothing by that name".to_owned(),
-        SubmissionResult::SubmissionIdReused => {
+        SubmissionResult::IdReused => {
             "the submission id belongs to a different submission".to_owned()
         }
-        SubmissionResult::Accepted(_) => String::new(),
+        SubmissionResult::Committed { .. } => String::new(),
     };
-    refusal(code, &message)
+    refusal(result.code(), &message)
 }
 
 fn spread_of(view: &SpreadView) -> Value {
@@ -361,17 +364,17 @@
 
 fn list_services(state: &ControlState) -> Value {
     let services: Vec<Value> = state
-        .config
+        .config()
         .services
         .values()
         .map(|entry| json!(entry))
         .collect();
-    json!({"revision": state.config.revision, "services": services})
+    json!({"revision": state.config().revision, "services": services})
 }
 
 fn list_keys(state: &ControlState) -> Value {
     let keys: Vec<Value> = state
-        .config
+        .config()
         .keys
         .iter()
         .map(|(hash, key)| {
@@ -379,7 +382,7 @@
                    "hash_prefix": hash.prefix()})
         })
         .collect();
-    json!({"revision": state.config.revision, "keys": keys})
+    json!({"revision": state.config().revision, "keys": keys})
 }
 
 fn parse_document(request: &Request, service: &str) -> Result<ServiceDocument, Response> {
--- a/crates/control/src/replica_task.rs
+++ b/crates/control/src/replica_task.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use anyhow::{Context as _, Result};
+use radishpaddle_consensus::submissions::{StateError, SubmissionResult};
 use radishpaddle_consensus::{
     Config, Entry, MemberRole, Membership, MembershipChange, Message, Notice, Payload,
     ProposeError, ReadId, ReadResult, Ready, Replica, ReplicaId, Role,
@@ -18,9 +19,9 @@
 use rand::rngs::SmallRng;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::control_state::{ControlState, LogCommand};
 use crate::disk::{self, DiskDone, DiskJob};
 use crate::settings::ControlSettings;
-use crate::submissions::{ControlState, LogCommand, SubmissionResult};
 
 /// Period of ticks; the timing of [`Config`] counts in it.
 const TICK: Duration = Duration::from_millis(50);
@@ -103,7 +104,7 @@
         let persisted = disk::persisted_state(&recovered)?;
         let state: ControlState = match &persisted.snapshot {
             Some(snapshot) => {
-                disk::decode_state(&snapshot.data).context("reading the newest snapshot")?
+                ControlState::decode(&snapshot.data).context("reading the newest snapshot")?
             }
             None => ControlState::default(),
         };
@@ -384,7 +385,7 @@
             self.storage_works &= self.jobs.send(job).is_ok();
         }
         if let Some(snapshot) = ready.install {
-            match disk::decode_state(&snapshot.data) {
+            match ControlState::decode(&snapshot.data) {
                 Ok(state) => self.state = Arc::new(state),
                 Err(error) => {
                     log::error!("control: a received snapshot cannot be read: {error}");
@@ -407,14 +408,11 @@
 
     fn apply(&mut self, entry: &Entry) {
         let result = match &entry.payload {
-            Payload::Data(bytes) => match serde_json::from_slice::<LogCommand>(bytes) {
-                Ok(command) => Arc::make_mut(&mut self.state).apply(&command),
-                Err(error) => {
-                    log::error!("control: entry {} cannot be read: {error}", entry.index);
-                    self.storage_works = false;
-                    None
-                }
-            },
+            Payload::Data(bytes) => self.apply_command(bytes).unwrap_or_else(|error| {
+                log::error!("control: entry {} cannot be read: {error}", entry.index);
+                self.storage_works = false;
+                None
+            }),
             Payload::Empty | Payload::Membership(_) => None,
         };
         while let Some(proposal) = self.proposals.first_entry() {
@@ -424,13 +422,18 @@
             let (index, (term, reply)) = proposal.remove_entry();
             let same = index == entry.index && term == entry.term;
             let _ = reply.send(if same {
-                Ok(result)
+                Ok(result.clone())
             } else {
                 Err(ReplicaError::Unknown)
             });
         }
     }
 
+    fn apply_command(&mut self, bytes: &[u8]) -> Result<Option<SubmissionResult>, StateError> {
+        let command: LogCommand = serde_json::from_slice(bytes)?;
+        Arc::make_mut(&mut self.state).apply(&command)
+    }
+
     fn finish_read(&mut self, read: ReadResult) {
         let (id, answer) = match read {
             ReadResult::Confirmed(id) => (id, Ok(Arc::clone(&self.state))),
@@ -446,7 +449,7 @@
         if self.saving_snapshot || applied < self.snapshot_index + SNAPSHOT_EVERY {
             return;
         }
-        let Ok(data) = serde_json::to_vec(&*self.state) else {
+        let Ok(data) = self.state.encode() else {
             return;
         };
         if let Ok(snapshot) = self.replica.make_snapshot(applied, data.into()) {
--- a/crates/dev/src/fleet.rs
+++ b/crates/dev/src/fleet.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use anyhow::{Context as _, Result, bail};
+use radishpaddle_consensus::submissions::{Submission, SubmissionResult};
+use radishpaddle_control::control_state::LogCommand;
 use radishpaddle_control::maintenance;
 use radishpaddle_control::replica_task::ReplicaHandle;
-use radishpaddle_control::submissions::{LogCommand, Submission, SubmissionResult};
 use radishpaddle_entry::fleet_view::FleetWatch;
 use radishpaddle_kernel::admin::Readiness;
 use radishpaddle_kernel::{Kernel, Program};
@@ -100,12 +101,11 @@
         let replica = self.control.context().get::<ReplicaHandle>()?;
         let submission = Submission {
             id: id.parse()?,
-            operator: "developer".into(),
             replaces,
             change,
         };
         match replica.propose(LogCommand::Submit(submission)).await {
-            Ok(Some(SubmissionResult::Accepted(revision))) => Ok(revision),
+            Ok(Some(SubmissionResult::Committed { revision })) => Ok(revision),
             other => bail!("submission {id} was refused: {other:?}"),
         }
     }
