Test real processes end to end

Cause: nothing drove the binaries from a submission to a planned stop. Change: the e2e crate starts control and entry processes with a fault proxy on each link and backend servers behind fault proxies; its first test submits, gives, calls, stops an instance under traffic and withdraws a key.

--- /dev/null
+++ b/crates/e2e/src/operator.rs
@@ -0,0 +1,97 @@
+//! An operator who works with `radishpaddlectl`.
+
+use std::net::SocketAddr;
+use std::process::Command;
+use std::time::Duration;
+
+use anyhow::{Context as _, Result, bail};
+use radishpaddle_model::ServiceDocument;
+use radishpaddle_testkit::process::workspace_binary;
+
+/// Runs the operator command line against the control instances of a fleet.
+#[derive(Debug, Clone)]
+pub struct Operator {
+    controls: Vec<SocketAddr>,
+    token: String,
+}
+
+impl Operator {
+    /// Operator with a token.
+    #[must_use]
+    pub fn new(controls: Vec<SocketAddr>, token: &str) -> Self {
+        Self {
+            controls,
+            token: token.to_owned(),
+        }
+    }
+
+    /// Runs a command and returns what it printed.
+    ///
+    /// # Errors
+    ///
+    /// Fails with what the command printed on standard error.
+    pub fn run(&self, arguments: &[&str]) -> Result<String> {
+        let controls: Vec<String> = self.controls.iter().map(ToString::to_string).collect();
+        let output = Command::new(workspace_binary("radishpaddlectl")?)
+            .env("RADISHPADDLE_CONTROL", controls.join(","))
+            .env("RADISHPADDLE_TOKEN", &self.token)
+            .args(arguments)
+            .output()?;
+        if !output.status.success() {
+            bail!("{}", String::from_utf8_lossy(&output.stderr).trim());
+        }
+        Ok(String::from_utf8_lossy(&output.stdout).into_owned())
+    }
+
+    /// Puts a document in force everywhere.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the submission is refused or not in force in time.
+    pub fn put(&self, document: &ServiceDocument) -> Result<String> {
+        let name = format!("radishpaddle-document-{}.json", std::process::id());
+        let file = std::env::temp_dir().join(name);
+        std::fs::write(&file, serde_json::to_string(document)?)?;
+        let printed = self.run(&["put", &file.display().to_string()]);
+        let _ = std::fs::remove_file(&file);
+        printed
+    }
+
+    /// Makes a key for an organisation and returns it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the submission is refused or not in force in time.
+    pub fn give(&self, organisation: &str, key_id: &str) -> Result<String> {
+        let printed = self.run(&["give", organisation, key_id])?;
+        let key = printed
+            .lines()
+            .find_map(|line| line.strip_prefix("key    "))
+            .context("the key is printed")?;
+        Ok(key.trim().to_owned())
+    }
+
+    /// Takes a key out of force.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the submission is refused or not in force in time.
+    pub fn withdraw(&self, key_id: &str) -> Result<String> {
+        self.run(&["withdraw", key_id])
+    }
+}
+
+/// Text of an admin page.
+///
+/// # Errors
+///
+/// Fails when the process does not answer.
+pub fn admin_page(address: SocketAddr, path: &str) -> Result<String> {
+    let config = ureq::Agent::config_builder()
+        .timeout_global(Some(Duration::from_secs(2)))
+        .http_status_as_error(false)
+        .build();
+    let agent: ureq::Agent = config.into();
+    let mut response = agent.get(format!("http://{address}{path}")).call()?;
+    Ok(response.body_mut().read_to_string()?)
+}
--- /dev/null
+++ b/crates/e2e/tests/end_to_end.rs
@@ -0,0 +1,146 @@
+//! Real processes from the first submission to a planned stop.
+
+use std::time::{Duration, Instant};
+
+use radishpaddle_e2e::fleet::Node;
+use radishpaddle_e2e::plan::{document, organisation};
+use radishpaddle_e2e::traffic::{TrafficPlan, operation};
+use radishpaddle_e2e::{FleetPlan, ProcessFleet, Traffic};
+use radishpaddle_testkit::caller::{Caller, CallerSettings, Told};
+use radishpaddle_testkit::history::{History, RateLimit};
+
+fn traffic_plan(name: &str, key: &str) -> TrafficPlan {
+    TrafficPlan {
+        organisation: organisation(name).unwrap(),
+        key: key.to_owned(),
+        callers: 4,
+        pause: Duration::from_millis(10),
+        action_every: 5,
+        max_attempts: 1,
+    }
+}
+
+fn answered(told: &Told) -> bool {
+    matches!(told, Told::Answer { status: 200, .. })
+}
+
+/// Guards against a planned stop that cuts a request, a withdrawn key that still works on open
+/// connections, and answers or executions that the guarantees forbid.
+#[tokio::test(flavor = "multi_thread")]
+async fn submissions_calls_withdrawal_and_planned_stop() {
+    let mut fleet = ProcessFleet::start(FleetPlan::default()).await.unwrap();
+    let operator = fleet.operator();
+    operator.put(&document(2_000.0, 500).unwrap()).unwrap();
+    let north = operator.give("north", "north-1").unwrap();
+    let south = operator.give("south", "south-1").unwrap();
+    wait_for_answer(&fleet, &north).await;
+    let traffic = Traffic::new();
+    let callers = fleet.caller_addresses();
+    traffic
+        .start(&callers, &traffic_plan("north", &north))
+        .unwrap();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+
+    fleet.process(Node::Entry(2)).terminate().unwrap();
+    let limit = Duration::from_secs(25);
+    let status = tokio::task::block_in_place(|| fleet.process(Node::Entry(2)).wait(limit)).unwrap();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    traffic.stop().await;
+
+    assert!(status.success(), "{}", fleet.log(Node::Entry(2)).unwrap());
+    let attempts = traffic.recorder().attempts();
+    let failed: Vec<_> = attempts
+        .iter()
+        .filter(|attempt| !answered(&attempt.told))
+        .collect();
+    // Enough that requests were in progress at every step of the stop.
+    assert!(attempts.len() > 100, "{} attempts", attempts.len());
+    assert!(failed.is_empty(), "{failed:#?}");
+    assert_eq!(
+        violations(&fleet, &traffic, &[&north, &south]),
+        Vec::<String>::new()
+    );
+    withdrawal_reaches_open_connections(&fleet, &south).await;
+}
+
+async fn withdrawal_reaches_open_connections(fleet: &ProcessFleet, key: &str) {
+    let seeds = fleet.caller_addresses()[..2].to_vec();
+    let settings = CallerSettings::new(seeds).with_key(organisation("south").unwrap(), key);
+    let caller = Caller::new(settings, None);
+    let service = "bookings".parse().unwrap();
+    let told = caller
+        .perform(&operation(&service, "before".into(), false))
+        .await;
+    assert!(answered(&told), "{told:?}");
+
+    let operator = fleet.operator();
+    tokio::task::block_in_place(|| operator.withdraw("south-1")).unwrap();
+    let withdrawn_at = Instant::now();
+    let mut last_answered = Duration::ZERO;
+    for number in 0..50 {
+        let operation = operation(&service, format!("after-{number}"), false);
+        let told = caller.perform(&operation).await;
+        if answered(&told) {
+            last_answered = withdrawn_at.elapsed();
+        } else {
+            assert_eq!(told, Told::NotRun { code: 2002 });
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+
+    // Design 4.1: at most 4 s after the acknowledgement.
+    assert!(last_answered < Duration::from_secs(4), "{last_answered:?}");
+}
+
+/// Submissions, backend servers and freshness arrive within seconds after the start.
+async fn wait_for_answer(fleet: &ProcessFleet, key: &str) {
+    let settings =
+        CallerSettings::new(fleet.caller_addresses()).with_key(organisation("north").unwrap(), key);
+    let caller = Caller::new(settings, None);
+    let service = "bookings".parse().unwrap();
+    let until = Instant::now() + Duration::from_secs(10);
+    loop {
+        let told = caller
+            .perform(&operation(&service, "warm-up".into(), false))
+            .await;
+        if answered(&told) {
+            return;
+        }
+        assert!(Instant::now() < until, "no answer: {told:?}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+fn violations(fleet: &ProcessFleet, traffic: &Traffic, keys: &[&str]) -> Vec<String> {
+    let limits = ["north", "south"].map(|name| RateLimit {
+        service: "bookings".parse().unwrap(),
+        organisation: organisation(name).unwrap(),
+        rate_per_s: 2_000.0,
+        burst: 500,
+    });
+    let grants = ["north", "south"].iter().zip(keys).map(|(name, key)| {
+        radishpaddle_testkit::history::KeyGrant {
+            key: (*key).to_owned(),
+            organisation: organisation(name).unwrap(),
+            withdrawn_us: None,
+        }
+    });
+    let history = History {
+        attempts: traffic.recorder().attempts(),
+        executions: fleet
+            .backends()
+            .iter()
+            .flat_map(radishpaddle_testkit::backend::RunningBackend::executions)
+            .filter(|execution| !execution.path.contains("warm-up"))
+            .collect(),
+        keys: grants.collect(),
+        limits: limits.to_vec(),
+        withdrawal_grace_us: 4_000_000,
+        organisation_header: Some("x-organisation".to_owned()),
+    };
+    let found = history.violations();
+    found
+        .iter()
+        .map(|violation| format!("{:?}: {}", violation.guarantee, violation.message))
+        .collect()
+}
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -7,7 +7,7 @@
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Uri};
-use radishpaddle_model::OrganisationKey;
+use radishpaddle_model::{OrganisationId, OrganisationKey};
 
 use crate::answer::REQUEST_ID;
 
@@ -17,11 +17,14 @@
 /// Header with the remaining time in milliseconds.
 pub const DEADLINE_MS: HeaderName = HeaderName::from_static("x-deadline-ms");
 
+/// Header with the organisation whose key came with the request; absent on open routes.
+pub const ORGANISATION: HeaderName = HeaderName::from_static("x-organisation");
+
 /// Header that names an action over its attempts.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 /// Headers that belong to one connection (RFC 9110, section 7.6.1), and those that carry keys.
-const NOT_FORWARDED: [HeaderName; 12] = [
+const NOT_FORWARDED: [HeaderName; 13] = [
     header::CONNECTION,
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
@@ -33,6 +36,7 @@
     header::EXPECT,
     header::AUTHORIZATION,
     API_KEY,
+    ORGANISATION,
     HeaderName::from_static("keep-alive"),
 ];
 
@@ -72,7 +76,13 @@
 impl ForwardRequest {
     /// Takes over what may be forwarded.
     #[must_use]
-    pub fn new(mut parts: Parts, body: Bytes, key: Option<&OrganisationKey>, id: &str) -> Self {
+    pub fn new(
+        mut parts: Parts,
+        body: Bytes,
+        key: Option<&OrganisationKey>,
+        organisation: Option<&OrganisationId>,
+        id: &str,
+    ) -> Self {
         let named = connection_headers(&parts.headers);
         for name in NOT_FORWARDED.iter().chain(&named) {
             parts.headers.remove(name);
@@ -83,6 +93,10 @@
         if let Ok(value) = HeaderValue::from_str(id) {
             parts.headers.insert(REQUEST_ID, value);
         }
+        let organisation = organisation.map(|name| HeaderValue::from_str(name.as_str()));
+        if let Some(Ok(value)) = organisation {
+            parts.headers.insert(ORGANISATION, value);
+        }
         parts.version = hyper::Version::HTTP_11;
         parts.extensions.clear();
         if let Some(path) = parts.uri.path_and_query() {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -179,7 +179,13 @@
             let message = "path or body contain the organisation key";
             return Err((ResultCode::BadRequest, message));
         }
-        let request = ForwardRequest::new(parts, body, resolved.key.as_ref(), request_id);
+        let request = ForwardRequest::new(
+            parts,
+            body,
+            resolved.key.as_ref(),
+            resolved.organisation.as_ref(),
+            request_id,
+        );
         let service = self
             .services
             .get(&resolved.service)
