Compute the capacity page from measured slopes

Cause: the size to design for needs figures per role that a command repeats. Change: radishpaddle-capacity measures bytes, processor time and memory of the real messages and state, and renders docs/CAPACITY.md; a test compares page and slopes. Entry instances now ask one witness in turns for backend server changes instead of all five every 250 ms. Retention and memory of claims are settings.

--- /dev/null
+++ b/crates/capacity/src/measure.rs
@@ -0,0 +1,492 @@
+//! Measures the slopes on this machine with the code that the processes run.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context as _, Result};
+use radishpaddle_entry::backend_info::BackendInfo;
+use radishpaddle_entry::fleet_view::FleetView;
+use radishpaddle_entry::leader_state::LeaderState;
+use radishpaddle_entry::sync_message::{SyncReply, SyncRequest};
+use radishpaddle_kernel::Journal;
+use radishpaddle_model::{Announcement, FleetConfig, Revision};
+use radishpaddle_policy::{
+    Cell, Completion, HealthReport, Member, Recorder, RequestClass, ServerKey, VerdictVersion,
+};
+use radishpaddle_quorum::allocation::{AllocationRequest, LimitKey, LimitReport};
+use radishpaddle_quorum::claim::{
+    Answer, AttemptId, ClaimKey, ClaimRequest, CompleteRequest, Fingerprint,
+};
+use radishpaddle_quorum::lease::Leadership;
+use radishpaddle_quorum::table::Cursor;
+use radishpaddle_quorum::{Epoch, Generation};
+use radishpaddle_wire::encode;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde::Serialize;
+
+use crate::fixture;
+use crate::size::TARGET;
+use crate::slopes::Slopes;
+
+/// Repetitions of each timed step.
+const ROUNDS: u32 = 2_000;
+
+/// Bytes of the length prefix, the frame id and the tags around a payload.
+const FRAME_BYTES: f64 = 14.0;
+
+/// Bytes of the answer in a claim.
+const ANSWER_BYTES: usize = 256;
+
+/// Measures every slope.
+///
+/// # Errors
+///
+/// Fails when a message cannot be encoded.
+pub fn slopes() -> Result<Slopes> {
+    // Memory first: later steps would reuse what earlier ones freed.
+    let memory = measure_memory()?;
+    let poll = measure_poll()?;
+    let delta = measure_delta()?;
+    let sync = measure_sync()?;
+    let limit = measure_limit()?;
+    let claim = measure_claim()?;
+    let config = measure_config()?;
+    Ok(Slopes {
+        poll_bytes: poll.bytes,
+        poll_member_bytes: poll.member_bytes,
+        poll_us: poll.us,
+        poll_us_per_1000_members: poll.us_per_1000,
+        delta_bytes: delta.bytes,
+        delta_server_bytes: delta.server_bytes,
+        delta_us: delta.us,
+        announce_bytes: delta.announce_bytes,
+        announce_us: delta.announce_us,
+        sync_bytes: sync.bytes,
+        sync_cell_bytes: sync.cell_bytes,
+        sync_in_flight_bytes: sync.in_flight_bytes,
+        sync_us: sync.us,
+        sync_us_per_cell: sync.us_per_cell,
+        detect_us_per_server: sync.detect_us_per_server,
+        limit_bytes: limit.0,
+        limit_us: limit.1,
+        claim_bytes: claim.bytes,
+        claim_us: claim.us,
+        claim_memory_bytes: memory.per_claim,
+        change_bytes: config.change_bytes,
+        change_us: config.change_us,
+        config_service_bytes: config.service_bytes,
+        config_key_bytes: config.key_bytes,
+        config_memory_bytes: memory.config,
+        server_memory_bytes: memory.per_server,
+    })
+}
+
+struct Poll {
+    bytes: f64,
+    member_bytes: f64,
+    us: f64,
+    us_per_1000: f64,
+}
+
+fn measure_poll() -> Result<Poll> {
+    let now = Duration::from_secs(10);
+    let small = poll_us(17);
+    let large = poll_us(1_017);
+    let mut witness = fixture::witness(17, now);
+    let instances = witness.instances().context("the witness serves")?;
+    let cursor = instances.delta_since(Cursor::default()).cursor;
+    let request = fixture::poll(3, 9, cursor);
+    let reply = witness.poll(now, &request).context("the witness serves")?;
+    let bytes = bytes_of(&request)? + bytes_of(&reply)? + 2.0 * FRAME_BYTES;
+    let whole = fixture::poll(3, 10, Cursor::default());
+    let full = witness.poll(now, &whole).context("the witness serves")?;
+    Ok(Poll {
+        bytes,
+        member_bytes: (bytes_of(&full)? - bytes_of(&reply)?) / 17.0,
+        us: small,
+        us_per_1000: (large - small).max(0.0),
+    })
+}
+
+fn poll_us(members: usize) -> f64 {
+    let now = Duration::from_secs(10);
+    let mut witness = fixture::witness(members, now);
+    let instances = witness.instances();
+    let cursor = instances.map_or_else(Cursor::default, |instances| {
+        instances.delta_since(Cursor::default()).cursor
+    });
+    timed(|round| {
+        let request = fixture::poll(3, u64::from(round) + 10, cursor);
+        witness.poll(now, &request)
+    })
+}
+
+struct Delta {
+    bytes: f64,
+    server_bytes: f64,
+    us: f64,
+    announce_bytes: f64,
+    announce_us: f64,
+}
+
+fn measure_delta() -> Result<Delta> {
+    let now = Duration::from_secs(10);
+    let mut witness = fixture::witness(17, now);
+    let servers = 1_000;
+    for number in 0..servers {
+        witness.announce(now, &fixture::announcement(number, 1));
+    }
+    let reader = fixture::life(3);
+    let full = witness
+        .backend_delta(&reader, Cursor::default())
+        .context("the witness serves")?;
+    let cursor = full.cursor;
+    let empty = witness
+        .backend_delta(&reader, cursor)
+        .context("the witness serves")?;
+    let bytes = bytes_of(&(&reader, cursor))? + bytes_of(&empty)? + 2.0 * FRAME_BYTES;
+    let us = timed(|_| witness.backend_delta(&reader, cursor));
+    let announce_us = timed(|round| {
+        let sequence = u64::from(round) + 2;
+        witness.announce(now, &fixture::announcement(5, sequence))
+    });
+    Ok(Delta {
+        bytes,
+        server_bytes: (bytes_of(&full)? - bytes_of(&empty)?) / f64::from(servers_f(servers)),
+        us,
+        announce_bytes: bytes_of(&fixture::announcement(5, 9))? + 2.0 * FRAME_BYTES + 1.0,
+        announce_us,
+    })
+}
+
+fn servers_f(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
+
+struct Sync {
+    bytes: f64,
+    cell_bytes: f64,
+    in_flight_bytes: f64,
+    us: f64,
+    us_per_cell: f64,
+    detect_us_per_server: f64,
+}
+
+fn measure_sync() -> Result<Sync> {
+    let cells = 100;
+    let empty = sync_request(1, &[]);
+    let full = sync_request(1, &cells_of(cells));
+    let mut leader = LeaderFixture::new(1_000);
+    let empty_reply = leader.sync(empty.clone());
+    let per_cell = (bytes_of(&full)? - bytes_of(&empty)?) / f64::from(cells);
+    let us = timed(|_| leader.sync(empty.clone()));
+    let us_full = timed(|_| leader.sync(full.clone()));
+    let in_flight = bytes_of(&(ServerKey(u64::MAX / 3), 3_u32))?;
+    Ok(Sync {
+        bytes: bytes_of(&empty)? + bytes_of(&empty_reply)? + 2.0 * FRAME_BYTES,
+        cell_bytes: per_cell,
+        in_flight_bytes: in_flight,
+        us,
+        us_per_cell: (us_full - us).max(0.0) / f64::from(cells),
+        detect_us_per_server: leader.detect_us() / 1_000.0,
+    })
+}
+
+/// Leader with announced backend servers.
+struct LeaderFixture {
+    state: LeaderState,
+    leadership: Leadership,
+    fleet: FleetView,
+    config: FleetConfig,
+    now: Duration,
+    rng: SmallRng,
+}
+
+impl LeaderFixture {
+    fn new(servers: usize) -> Self {
+        let now = Duration::from_secs(100);
+        let leadership = Leadership {
+            epoch: Epoch(4_294_967_297),
+            since_epoch: Epoch(4_294_967_297),
+            until: Duration::from_hours(1),
+        };
+        let journal = Journal::new(fixture::life(0).instance, 100);
+        let backend_servers = (0..servers)
+            .map(|number| {
+                let announcement = fixture::announcement(number, 1);
+                Arc::new(BackendInfo::new(&announcement, Duration::ZERO))
+            })
+            .collect();
+        let mut fixture = Self {
+            state: LeaderState::new(fixture::life(0), &leadership, None, journal, now),
+            leadership,
+            fleet: FleetView {
+                backend_servers: Arc::new(backend_servers),
+                ..FleetView::default()
+            },
+            config: fixture::config(servers.div_ceil(17), servers.div_ceil(17) * 30),
+            now,
+            rng: SmallRng::seed_from_u64(1),
+        };
+        fixture.tick();
+        fixture
+    }
+
+    fn tick(&mut self) {
+        self.now += Duration::from_millis(250);
+        self.state
+            .tick(self.now, &self.config, &self.fleet, &mut self.rng);
+    }
+
+    fn sync(&mut self, request: SyncRequest) -> SyncReply {
+        self.state.sync(self.now, &self.leadership, request)
+    }
+
+    /// Time of one period of detection while each server has evidence.
+    fn detect_us(&mut self) -> f64 {
+        let cells = cells_of(1_000);
+        let periods = 40;
+        let mut total = Duration::ZERO;
+        for _ in 0..periods {
+            self.sync(sync_request(2, &cells));
+            let started_at = Instant::now();
+            self.tick();
+            total += started_at.elapsed();
+        }
+        total.as_secs_f64() * 1e6 / f64::from(periods)
+    }
+}
+
+fn sync_request(instance: usize, cells: &[Cell]) -> SyncRequest {
+    SyncRequest {
+        life: fixture::life(instance),
+        epoch: Epoch(4_294_967_297),
+        health: HealthReport {
+            cells: cells.to_vec(),
+            applied: VerdictVersion::default(),
+            held: Vec::new(),
+        },
+        in_flight: Vec::new(),
+        quarantine_generation: 0,
+        quarantine: Vec::new(),
+    }
+}
+
+/// Evidence about different backend servers, ten requests each.
+fn cells_of(count: u32) -> Vec<Cell> {
+    let mut recorder = Recorder::new();
+    let mut now = Duration::from_secs(1);
+    for number in 0..count {
+        let announcement = fixture::announcement(number as usize, 1);
+        let server = ServerKey::new(&announcement.service, &announcement.backend_server);
+        for request in 0..10 {
+            let class = RequestClass::of_route("lookup");
+            let id = recorder.dispatched(server, class, false, now);
+            now += Duration::from_millis(5);
+            let ended_at = now + Duration::from_millis(40 + request);
+            recorder.completed(id, Completion::Answered { status: 200 }, ended_at);
+        }
+    }
+    recorder.drain(now)
+}
+
+fn measure_limit() -> Result<(f64, f64)> {
+    let mut leader = LeaderFixture::new(100);
+    let report = |number: u64| AllocationRequest {
+        holder: fixture::life(1),
+        epoch: Epoch(4_294_967_297),
+        complete: number == 1,
+        reports: vec![LimitReport {
+            key: LimitKey {
+                service: fixture::service_id(1),
+                organisation: "organisation-31".parse().expect("an identifier"),
+            },
+            number,
+            accepted: number - 1,
+            rate: 0,
+            burst: 0,
+            returned_total: 0,
+            wanted: 1_000_000,
+            demand: 2_000_000,
+        }],
+    };
+    let request = report(1);
+    let leadership = leader.leadership;
+    let reply = leader
+        .state
+        .allocate(leader.now, &leadership, &request)
+        .context("the leader answers")?;
+    let bytes = bytes_of(&request)? + bytes_of(&reply)?;
+    let us = timed(|round| {
+        let request = report(u64::from(round) + 2);
+        leader.state.allocate(leader.now, &leadership, &request)
+    });
+    Ok((bytes, us))
+}
+
+struct Claim {
+    bytes: f64,
+    us: f64,
+}
+
+fn measure_claim() -> Result<Claim> {
+    let now = Duration::from_secs(10);
+    let mut witness = fixture::witness(17, now);
+    let request = claim(0);
+    let vote = witness.claim(now, &request).context("the witness serves")?;
+    let ended = complete(&request);
+    let stored = witness
+        .complete(now, &ended)
+        .context("the witness serves")?;
+    let bytes = bytes_of(&request)? + bytes_of(&vote)? + bytes_of(&ended)? + bytes_of(&stored)?;
+    let us = timed(|round| {
+        let request = claim(u64::from(round) + 1);
+        witness.claim(now, &request);
+        witness.complete(now, &complete(&request))
+    });
+    Ok(Claim {
+        bytes: bytes + 4.0 * FRAME_BYTES,
+        us,
+    })
+}
+
+fn claim(number: u64) -> ClaimRequest {
+    ClaimRequest {
+        generation: Generation(1),
+        key: ClaimKey {
+            organisation: "organisation-31".parse().expect("an identifier"),
+            service: fixture::service_id(1),
+            idempotency_key: format!("0f8fad5b-d9cb-469f-a165-{number:012}").into(),
+        },
+        attempt: AttemptId {
+            life: fixture::life(3),
+            number,
+        },
+        fingerprint: Fingerprint([7; 32]),
+    }
+}
+
+fn complete(claim: &ClaimRequest) -> CompleteRequest {
+    CompleteRequest {
+        generation: claim.generation,
+        key: claim.key.clone(),
+        attempt: claim.attempt.clone(),
+        fingerprint: claim.fingerprint,
+        answer: Answer::Whole {
+            status: 200,
+            encoded: vec![1; ANSWER_BYTES].into(),
+        },
+    }
+}
+
+struct Config {
+    change_bytes: f64,
+    change_us: f64,
+    service_bytes: f64,
+    key_bytes: f64,
+}
+
+fn measure_config() -> Result<Config> {
+    let mut config = target_config();
+    let services = json_bytes(&config.services)? / TARGET.services;
+    let keys = json_bytes(&config.keys)? / TARGET.organisations;
+    let change = fixture::change(&config);
+    let change_bytes = json_bytes(&change)?;
+    let change_us = timed(|_| {
+        let record = fixture::change(&config);
+        config.apply(&record)
+    });
+    anyhow::ensure!(config.revision > Revision(0), "changes were applied");
+    Ok(Config {
+        change_bytes,
+        change_us,
+        service_bytes: services,
+        key_bytes: keys,
+    })
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the sizes are small whole numbers"
+)]
+fn target_config() -> FleetConfig {
+    fixture::config(TARGET.services as usize, TARGET.organisations as usize)
+}
+
+/// Bytes of memory.
+struct Memory {
+    config: f64,
+    per_server: f64,
+    per_claim: f64,
+}
+
+/// Growth of the resident memory by state that is kept until all of it is measured.
+fn measure_memory() -> Result<Memory> {
+    let start = resident_bytes()?;
+    let config = target_config();
+    let after_config = resident_bytes()?;
+    let servers = server_views(10_000);
+    let after_servers = resident_bytes()?;
+    let claims = 20_000;
+    let mut witness = fixture::witness(17, Duration::ZERO);
+    for number in 0..claims {
+        let request = claim(number);
+        witness.claim(Duration::ZERO, &request);
+        witness.complete(Duration::ZERO, &complete(&request));
+    }
+    let after_claims = resident_bytes()?;
+    anyhow::ensure!(
+        config.services.len() + servers.len() > 0,
+        "the state is kept"
+    );
+    Ok(Memory {
+        config: after_config - start,
+        per_server: (after_servers - after_config) / 10_000.0,
+        per_claim: (after_claims - after_servers) / f64::from(u32::try_from(claims)?),
+    })
+}
+
+/// Backend servers as an entry instance that is a witness holds them.
+fn server_views(count: usize) -> Vec<(Arc<BackendInfo>, Member, Vec<Announcement>)> {
+    (0..count)
+        .map(|number| {
+            let announcement = fixture::announcement(number, 1);
+            let info = BackendInfo::new(&announcement, Duration::ZERO);
+            let member = info.member();
+            // One view per witness and the table of the witness itself.
+            let views = (0..=fixture::WITNESSES)
+                .map(|_| fixture::announcement(number, 1))
+                .collect();
+            (Arc::new(info), member, views)
+        })
+        .collect()
+}
+
+/// Mean time of a step in microseconds.
+fn timed<T>(mut step: impl FnMut(u32) -> T) -> f64 {
+    for round in 0..ROUNDS / 10 {
+        std::hint::black_box(step(round));
+    }
+    let started_at = Instant::now();
+    for round in 0..ROUNDS {
+        std::hint::black_box(step(round + ROUNDS));
+    }
+    started_at.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS)
+}
+
+fn bytes_of<T: Serialize>(value: &T) -> Result<f64> {
+    Ok(f64::from(u32::try_from(encode(value)?.len())?))
+}
+
+fn json_bytes<T: Serialize>(value: &T) -> Result<f64> {
+    Ok(f64::from(u32::try_from(serde_json::to_vec(value)?.len())?))
+}
+
+/// Resident memory of this process, from `/proc/self/statm` in pages of 4 KiB.
+fn resident_bytes() -> Result<f64> {
+    let text = std::fs::read_to_string("/proc/self/statm")?;
+    let pages = text.split(' ').nth(1).context("statm has two fields")?;
+    Ok(pages.parse::<f64>()? * 4096.0)
+}
--- a/crates/entry/src/parts.rs
+++ b/crates/entry/src/parts.rs
@@ -9,6 +9,7 @@
 use radishpaddle_kernel::plugin::PluginFuture;
 use radishpaddle_kernel::{Context, Plugin, Program, Running, inventory};
 use radishpaddle_quorum::Life;
+use radishpaddle_quorum::claim::ClaimSettings;
 use radishpaddle_wire::message::Hello;
 use radishpaddle_wire::{
     ClientIdentity, PROTOCOL_VERSION, PeerClient, PeerSecurity, PeerServer, ServerIdentity,
@@ -31,7 +32,7 @@
 use crate::poll_task::{self, PollInputs};
 use crate::request::{RequestHandler, RequestIds};
 use crate::services::Services;
-use crate::settings::EntrySettings;
+use crate::settings::{EntrySettings, LimitSettings};
 use crate::status;
 use crate::sync_task::{self, SyncInputs};
 use crate::witness_port::WitnessPorts;
@@ -105,10 +106,21 @@
         fleet: FleetWatch::clone(&*context.get::<FleetWatch>()?),
         journal: context.journal.clone(),
         clock,
+        claims: claim_settings(&settings.limits),
     };
     Ok(WitnessHandle::spawn(inputs))
 }
 
+fn claim_settings(limits: &LimitSettings) -> ClaimSettings {
+    let max_bytes = usize::try_from(limits.claim_memory.0).unwrap_or(usize::MAX);
+    ClaimSettings {
+        retention: Duration::from_millis(limits.claim_retention_ms),
+        max_bytes,
+        max_answers_bytes: max_bytes / 2,
+        ..ClaimSettings::default()
+    }
+}
+
 fn peers(context: Arc<Context>) -> PluginFuture<Result<Running>> {
     Box::pin(async move {
         let settings = context.get::<EntrySettings>()?;
--- a/crates/entry/src/poll_task.rs
+++ b/crates/entry/src/poll_task.rs
@@ -88,6 +88,7 @@
         first_seen: HashMap::new(),
         leaders: BTreeMap::new(),
         next_number: 0,
+        next_reader: 0,
         fetching: false,
     };
     tokio::spawn(task.run(incoming));
@@ -103,6 +104,7 @@
     first_seen: HashMap<ServerKey, (Incarnation, Duration)>,
     leaders: BTreeMap<InstanceId, Option<Leader>>,
     next_number: u64,
+    next_reader: usize,
     fetching: bool,
 }
 
@@ -172,8 +174,16 @@
         }
     }
 
-    fn read_backends(&self) {
-        for (witness, port) in self.inputs.ports.iter() {
+    /// Asks one witness in each period, in turns: an announcement is stored by a majority, so it is
+    /// seen after three periods at the latest when five witnesses answer. All are asked until one
+    /// has answered.
+    fn read_backends(&mut self) {
+        self.next_reader = (self.next_reader + 1) % self.inputs.ports.len().max(1);
+        let first_answer = self.backends.is_empty();
+        for (index, (witness, port)) in self.inputs.ports.iter().enumerate() {
+            if index != self.next_reader && !first_answer {
+                continue;
+            }
             let cursor = self.backends.get(witness).map(TableView::cursor);
             let request = (self.life.clone(), cursor.unwrap_or_default());
             let (witness, port) = (witness.clone(), port.clone());
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -7,7 +7,7 @@
 
 use radishpaddle_kernel::settings::Report;
 use radishpaddle_kernel::{CommonSettings, ProcessSettings};
-use radishpaddle_model::{AvailabilityZone, InstanceId};
+use radishpaddle_model::{AvailabilityZone, ByteSize, InstanceId};
 use serde::{Deserialize, Serialize};
 
 /// Settings file of `radishpaddle-entry`.
@@ -85,6 +85,10 @@
     pub connect_timeout_ms: u64,
     /// Idle connections kept per backend server.
     pub idle_connections_per_server: usize,
+    /// Time for which a witness keeps a claim after its last event; the same on every witness.
+    pub claim_retention_ms: u64,
+    /// Memory of a witness for claims; more claims are refused.
+    pub claim_memory: ByteSize,
 }
 
 /// Periods and lifetimes.
@@ -113,6 +117,8 @@
             queue_length: 1024,
             connect_timeout_ms: 500,
             idle_connections_per_server: 16,
+            claim_retention_ms: 600_000,
+            claim_memory: ByteSize(64 << 20),
         }
     }
 }
@@ -213,6 +219,14 @@
         );
         let idle = self.idle_connections_per_server;
         report.range("limits.idle_connections_per_server", idle, 0, 1024);
+        report.range(
+            "limits.claim_retention_ms",
+            self.claim_retention_ms,
+            60_000,
+            86_400_000,
+        );
+        let (low, high) = (ByteSize(1 << 20), ByteSize(1 << 30));
+        report.range("limits.claim_memory", self.claim_memory, low, high);
     }
 }
 
--- a/crates/entry/src/witness_task.rs
+++ b/crates/entry/src/witness_task.rs
@@ -54,6 +54,8 @@
     pub journal: Journal,
     /// Local time.
     pub clock: Clock,
+    /// Retention and memory of claims.
+    pub claims: ClaimSettings,
 }
 
 enum WitnessRequest {
@@ -74,7 +76,7 @@
         let witness = Witness::new(
             inputs.life.clone(),
             inputs.peers.keys().cloned(),
-            ClaimSettings::default(),
+            inputs.claims.clone(),
             inputs.clock.now(),
         );
         let task = WitnessTask {
