Hand over the leadership when the disk stalls

Cause: a leader whose disk hangs went on answering heartbeats, so it kept the leadership while it applied and acknowledged nothing. The bounds test of submissions builds its document once. Figures: before, a leader with a stalled write still led after 20 ticks; after, it has stepped down by then and campaigns again once the write is durable.

--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -11,6 +11,9 @@
     /// Shortest election timeout; the timeout is drawn from here to twice as long. A leader that
     /// hears no quorum for this long steps down.
     pub election_ticks: u32,
+    /// Ticks for a write and its sync above which a replica gives up the leadership and does not
+    /// campaign. A leader whose disk hangs still answers heartbeats but applies nothing.
+    pub stalled_disk_ticks: u32,
     /// Ticks after which an unreachable voter is replaced by a learner that has caught up. Longer
     /// than a restart of an instance, so that a restart causes no change.
     pub repair_after_ticks: u32,
@@ -44,6 +47,7 @@
         Self {
             heartbeat_ticks: 1,
             election_ticks: 10,
+            stalled_disk_ticks: 20,
             repair_after_ticks: 600,
             automatic_repair: true,
             target_voters: 3,
@@ -64,6 +68,7 @@
     pub(crate) fn is_valid(&self) -> bool {
         self.heartbeat_ticks >= 1
             && self.election_ticks > 2 * self.heartbeat_ticks
+            && self.stalled_disk_ticks >= self.election_ticks
             && self.repair_after_ticks > self.election_ticks
             && (1..=MAX_VOTERS).contains(&self.target_voters)
             && self.max_unanswered_batches >= 1
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -6,17 +6,19 @@
 use crate::replica::{Replica, Role};
 
 impl Replica {
-    /// Whether this replica votes in the newest or in the committed membership. A voter that is
+    /// Whether this replica may lead: its disk works and it votes in the newest or in the committed
+    /// membership. A voter that is
     /// being removed may still be needed to commit its removal (Raft thesis 4.2.2).
     fn may_campaign(&self) -> bool {
         let id = self.id();
-        self.membership().is_voter(id) || self.committed_membership().1.is_voter(id)
+        let votes = self.membership().is_voter(id) || self.committed_membership().1.is_voter(id);
+        votes && self.unwritten_snapshot.is_none() && !self.disk_is_stalled()
     }
 
     pub(crate) fn election_timeout(&mut self) {
         self.restart_election_timer();
         self.leader = None;
-        if self.may_campaign() && self.unwritten_snapshot.is_none() {
+        if self.may_campaign() {
             self.start_pre_vote();
         }
     }
@@ -180,7 +182,7 @@
     }
 
     pub(crate) fn on_timeout_now(&mut self, from: ReplicaId) {
-        if self.leader == Some(from) && self.membership().is_voter(self.id()) {
+        if self.leader == Some(from) && self.may_campaign() {
             self.start_election(true);
         }
     }
--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -77,7 +77,7 @@
         for progress in self.lead.progress.values_mut() {
             progress.silent_ticks = progress.silent_ticks.saturating_add(1);
         }
-        if !self.hears_quorum() {
+        if !self.hears_quorum() || self.disk_is_stalled() {
             self.become_follower(self.term(), None);
             return;
         }
--- a/crates/consensus/src/output.rs
+++ b/crates/consensus/src/output.rs
@@ -14,6 +14,8 @@
     pub(crate) hard_state: HardState,
     pub(crate) snapshot: Option<Snapshot>,
     pub(crate) last: u64,
+    /// Ticks since the writes were handed out.
+    pub(crate) ticks: u32,
 }
 
 impl Replica {
@@ -57,11 +59,25 @@
                 hard_state: self.hard_state,
                 snapshot: writes.snapshot.clone(),
                 last: writes.entries.last().map_or(0, |entry| entry.index),
+                ticks: 0,
             });
         }
         writes
     }
 
+    pub(crate) fn tick_writes(&mut self) {
+        if let Some(written) = &mut self.in_flight {
+            written.ticks = written.ticks.saturating_add(1);
+        }
+    }
+
+    /// Whether the writes take so long that this replica should not lead.
+    pub(crate) fn disk_is_stalled(&self) -> bool {
+        let limit = self.config.stalled_disk_ticks;
+        let stalled = |written: &InFlight| written.ticks >= limit;
+        self.in_flight.as_ref().is_some_and(stalled)
+    }
+
     fn take_committed(&mut self) -> Vec<Entry> {
         let durable = self.commit.min(self.log.stable());
         let entries = self
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -210,6 +210,7 @@
     /// Advances time by one tick.
     pub fn tick(&mut self) {
         self.elapsed = self.elapsed.saturating_add(1);
+        self.tick_writes();
         if self.role == Role::Leader {
             self.tick_leader();
         } else if self.elapsed >= self.timeout {
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -79,13 +79,22 @@
 }
 
 fn elect(replica: &mut Replica) {
+    elect_in(replica, 3);
+}
+
+fn elect_in(replica: &mut Replica, term: u64) {
     while replica.role() == Role::Follower {
         replica.tick();
     }
-    receive(replica, SECOND, 3, Body::PreVoteResponse { granted: true });
+    receive(
+        replica,
+        SECOND,
+        term,
+        Body::PreVoteResponse { granted: true },
+    );
     assert_eq!(replica.role(), Role::Candidate);
     sync_all(replica);
-    receive(replica, SECOND, 3, Body::VoteResponse { granted: true });
+    receive(replica, SECOND, term, Body::VoteResponse { granted: true });
     assert_eq!(replica.role(), Role::Leader);
 }
 
@@ -276,6 +285,36 @@
     assert!(replica.propose(Arc::from([])).is_err());
 }
 
+/// Guards against a leader whose disk hangs: it answers heartbeats and applies nothing.
+#[test]
+fn leader_with_a_stalled_disk_hands_over() {
+    let mut replica = replica(Vec::new());
+    elect(&mut replica);
+    sync_all(&mut replica);
+    replica.propose(Arc::from([])).unwrap();
+    let stalled = replica.take_ready().unwrap();
+    let answer_heartbeats = |replica: &mut Replica| {
+        replica.tick();
+        let term = replica.term();
+        let (matched, round) = (3, 0);
+        receive(replica, SECOND, term, Body::Accepted { matched, round });
+        let ready = replica.take_ready();
+        ready.is_some_and(|ready| !ready.messages_after_sync.is_empty())
+    };
+
+    for _ in 0..=2 * Config::default().election_ticks {
+        answer_heartbeats(&mut replica);
+    }
+    assert_ne!(replica.role(), Role::Leader);
+
+    for _ in 0..100 {
+        assert!(!answer_heartbeats(&mut replica));
+        assert_eq!(replica.role(), Role::Follower, "it campaigns");
+    }
+    replica.synced(stalled.number);
+    elect_in(&mut replica, 4);
+}
+
 /// Guards against a log that grows without bound, and against one that stays full after a snapshot
 /// because of the entries kept for slow followers.
 #[test]
--- a/crates/consensus/tests/submissions.rs
+++ b/crates/consensus/tests/submissions.rs
@@ -153,11 +153,11 @@
 #[test]
 fn results_and_records_are_bounded() {
     let mut state = Submissions::default();
+    let mut submission = put("s", "ledger", 0, 50.0);
     for number in 0..=MAX_RESULTS as u64 {
-        apply(
-            &mut state,
-            &put(&format!("s{number}"), "ledger", number, 50.0),
-        );
+        submission.id = format!("s{number}").parse().unwrap();
+        submission.replaces = Revision(number);
+        apply(&mut state, &submission);
     }
     let newest = MAX_RESULTS as u64 + 1;
     let kept = MAX_RECORDS as u64;
