Report the state of the other members to operators

The leader lists for each member what is known to be on its disk, how long it has been silent and whether it has caught up.

--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -25,6 +25,19 @@
     pub(crate) pending_reads: VecDeque<PendingRead>,
 }
 
+/// What a leader knows about another member, for operators and metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerStatus {
+    /// The member.
+    pub id: ReplicaId,
+    /// Last index that is known to be on its disk.
+    pub matched: u64,
+    /// Ticks since it answered.
+    pub silent_ticks: u32,
+    /// Whether it is close enough to the leader's log to vote.
+    pub has_caught_up: bool,
+}
+
 /// A leadership transfer in progress.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Transfer {
@@ -249,6 +262,21 @@
         }
     }
 
+    /// State of the other members; empty unless this replica leads.
+    #[must_use]
+    pub fn peers(&self) -> Vec<PeerStatus> {
+        if self.role != Role::Leader {
+            return Vec::new();
+        }
+        let status = |(id, progress): (&ReplicaId, &Progress)| PeerStatus {
+            id: *id,
+            matched: progress.matched,
+            silent_ticks: progress.silent_ticks,
+            has_caught_up: self.has_caught_up(*id),
+        };
+        self.lead.progress.iter().map(status).collect()
+    }
+
     /// Hands the leadership to `target`, or to the voter that has most of the log. The leader
     /// takes no proposals until the transfer succeeds or an election timeout has passed.
     ///
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -33,6 +33,7 @@
 pub use config::Config;
 pub use entry::{Entry, Payload, ReplicaId, Snapshot, SnapshotMeta};
 pub use error::{CompactError, ProposeError, StartError};
+pub use leader::PeerStatus;
 pub use membership::{Member, MemberRole, Membership, MembershipChange};
 pub use message::{Body, Message};
 pub use persisted::PersistedState;
--- a/crates/consensus/src/ready.rs
+++ b/crates/consensus/src/ready.rs
@@ -31,7 +31,8 @@
 /// Something that the operator or the process should know.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Notice {
-    /// This replica was removed from the group. It can only take part again by a new join.
+    /// This replica was removed from the group while it could not be reached. It can join again as
+    /// a learner; with an emptied disk it does so under a new identity.
     Removed,
     /// The leader proposed to replace or add a member by itself.
     RepairProposed(crate::membership::MembershipChange),
--- a/crates/consensus/src/repair.rs
+++ b/crates/consensus/src/repair.rs
@@ -49,8 +49,7 @@
     }
 
     /// Whether a member answers and its disk holds the log up to a small lag.
-    #[must_use]
-    pub fn has_caught_up(&self, id: ReplicaId) -> bool {
+    pub(crate) fn has_caught_up(&self, id: ReplicaId) -> bool {
         let Some(progress) = self.lead.progress.get(&id) else {
             return false;
         };
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -453,7 +453,8 @@
         self.commit = self.commit.max(commit);
     }
 
-    /// Reads the state linearisably: the result with this id appears in [`Ready::reads`].
+    /// Reads the state linearisably: the result with this id appears in
+    /// [`crate::Ready::reads`].
     ///
     /// # Errors
     ///
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -292,6 +292,8 @@
 
     assert_eq!(early, Err(ProposeError::ChangePending));
     assert_eq!(late, Ok(3));
+    let matched: Vec<_> = replica.peers().iter().map(|peer| peer.matched).collect();
+    assert_eq!(matched, [2, 0, 0]);
     assert_eq!(second, Err(ProposeError::ChangePending));
 }
 
