Fill segments to their size and test damage without the marker

Cause: the bytes of a batch were counted twice when it was decided whether a segment is full, so a batch began new segments early. This also hid from the tests whether damage before the end of a segment is found when the marker of the durable length is lost. Change: a segment is full by its own length. A test damages every byte of a segment with three records and no marker. Crashes in the tests now keep each unsynced name and tail or lose it independently.

--- a/crates/storage/src/storage.rs
+++ b/crates/storage/src/storage.rs
@@ -348,8 +348,8 @@
         }
         let mut bytes = Vec::new();
         for entry in entries {
-            let size = self.newest_length() + bytes.len() as u64;
-            if self.newest.is_none() || size > self.segment_bytes {
+            let is_full = self.newest_length() > self.segment_bytes;
+            if self.newest.is_none() || is_full {
                 self.flush(&mut bytes)?;
                 self.begin_segment()?;
             }
@@ -360,6 +360,7 @@
         self.flush(&mut bytes)
     }
 
+    /// Length of the newest segment with what is collected for it, in bytes.
     fn newest_length(&self) -> u64 {
         self.segments.last().map_or(0, end_of)
     }
--- a/crates/storage/tests/faults/main.rs
+++ b/crates/storage/tests/faults/main.rs
@@ -50,11 +50,21 @@
     assert_eq!(Content::from(recovered), expected);
 }
 
+/// A different share from 0 to 1 on each call.
+fn shares(seed: u32) -> impl FnMut() -> f64 {
+    let mut calls = 0_u32;
+    move || {
+        calls += 1;
+        let number = crc32fast::hash(&[seed.to_le_bytes(), calls.to_le_bytes()].concat());
+        f64::from(number) / f64::from(u32::MAX)
+    }
+}
+
 /// Fails every operation of the script in turn, then reopens the directory: without a crash, and
-/// after crashes that lose each share of what was not synced.
+/// after crashes that lose nothing, all or a part of what was not synced.
 fn fail_every_operation(fault: Fault) -> u64 {
     for operation in 1.. {
-        for kept in [None, Some(0.0), Some(0.3), Some(0.7), Some(1.0)] {
+        for crash in 0..8 {
             let system = MemoryFileSystem::default();
             system.fail_at(operation, fault);
             let (acknowledged, interrupted) = run_script(&system);
@@ -62,8 +72,11 @@
                 return operation;
             }
             system.clear_faults();
-            if let Some(kept) = kept {
-                system.crash(|| kept);
+            match crash {
+                0 => {}
+                1 => system.crash(|| 0.0),
+                2 => system.crash(|| 1.0),
+                seed => system.crash(shares(seed)),
             }
             // The marker is written without a sync and its failure is not an error.
             let interrupted = interrupted.unwrap_or_else(nothing);
@@ -176,6 +189,36 @@
     }
 }
 
+/// Guards against reading a damaged record as an interrupted write when the marker is lost too:
+/// only the end of the newest segment may be cut off.
+#[test]
+fn damage_before_the_end_is_found_without_a_marker() {
+    let system = MemoryFileSystem::default();
+    let (mut storage, _) = open(&system).unwrap();
+    carry_out(&mut storage, &write(1..=3, 1)).unwrap();
+    drop(storage);
+    system.edit(&Path::new(script::DIRECTORY).join("log-synced"), Vec::clear);
+    let segment = system.files().into_iter().find(|path| is_segment(path));
+    let segment = segment.unwrap();
+    let mut size = 0;
+    system.edit(&segment, |bytes| size = bytes.len());
+    let last_record = size - 8 - 16 - "entry 3/1".len();
+    for at in 0..size {
+        let damaged = system.copy();
+        damaged.edit(&segment, |bytes| bytes[at] ^= 1);
+        match open(&damaged) {
+            Ok((_storage, recovered)) => {
+                assert!(at >= last_record, "damage at {at} was cut off");
+                assert_eq!(
+                    recovered.entries,
+                    [script::entry(1, 1), script::entry(2, 1)]
+                );
+            }
+            Err(error) => assert!(matches!(error, StorageError::Corrupt { .. })),
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(300))]
 
--- a/crates/storage/tests/faults/memory.rs
+++ b/crates/storage/tests/faults/memory.rs
@@ -120,12 +120,21 @@
             inode.cached = inode.durable.clone();
             inode.dropped = None;
         }
-        let all_names = keep() >= 0.5;
-        if all_names {
-            state.durable_names = state.names.clone();
-        } else {
-            state.names = state.durable_names.clone();
+        let State {
+            names,
+            durable_names,
+            ..
+        } = &mut *state;
+        let mut paths: Vec<_> = names.keys().chain(durable_names.keys()).cloned().collect();
+        paths.sort_unstable();
+        paths.dedup();
+        for path in paths.into_iter().filter(|_| keep() >= 0.5) {
+            match names.get(&path) {
+                Some(inode) => durable_names.insert(path, *inode),
+                None => durable_names.remove(&path),
+            };
         }
+        names.clone_from(durable_names);
     }
 
     pub fn files(&self) -> Vec<PathBuf> {
