Let a learner whose vote is asked for bring its newer entries

Change: a learner that is asked for its vote by a replica with an older log starts an election with the votes of the membership that it knows. It steps down as soon as its entries are committed. A set of schedules covers seven voters.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -1,6 +1,7 @@
 //! Pre-vote, votes and changes of role.
 
 use crate::entry::ReplicaId;
+use crate::membership::MemberRole;
 use crate::message::{Body, Message};
 use crate::ready::{Notice, ReadResult};
 use crate::replica::{Replica, Role};
@@ -12,7 +13,11 @@
     fn may_campaign(&self) -> bool {
         let id = self.id();
         let votes = self.membership().is_voter(id) || self.committed_membership().1.is_voter(id);
-        votes && self.unwritten_snapshot.is_none() && !self.disk_is_stalled()
+        votes && self.is_able_to_lead()
+    }
+
+    fn is_able_to_lead(&self) -> bool {
+        self.unwritten_snapshot.is_none() && !self.disk_is_stalled()
     }
 
     pub(crate) fn election_timeout(&mut self) {
@@ -20,6 +25,8 @@
         self.leader = None;
         if self.may_campaign() {
             self.start_pre_vote();
+        } else {
+            self.role = Role::Follower;
         }
     }
 
@@ -131,6 +138,21 @@
         } else if message.term <= self.term() || !leader_is_alive {
             self.answer_vote(message, up_to_date);
         }
+        if !up_to_date && !leader_is_alive {
+            self.campaign_as_learner();
+        }
+    }
+
+    /// Starts an election as a learner whose vote is asked for and who has entries that the sender
+    /// lacks. The sender counts this replica as a voter because of an uncommitted promotion, and
+    /// without this vote the group might never elect a leader again. The votes of the membership
+    /// known here are counted, not the own one, so the election is as safe as any other; once its
+    /// entries are committed, a leader that does not vote steps down.
+    fn campaign_as_learner(&mut self) {
+        let learns = self.membership().role(self.id()) == Some(MemberRole::Learner);
+        if learns && self.role == Role::Follower && self.is_able_to_lead() {
+            self.start_pre_vote();
+        }
     }
 
     /// Whether a leader was heard within the shortest election timeout. Such a replica helps to
--- a/crates/consensus/tests/simulation/main.rs
+++ b/crates/consensus/tests/simulation/main.rs
@@ -208,6 +208,12 @@
     run_seeds(30_000..30_200, 5, 1, &REPLACEMENTS);
 }
 
+/// Guards against a repair that needs more voters than there may be.
+#[test]
+fn seven_voters() {
+    run_seeds(70_000..70_040, 7, 1, &REPLACEMENTS);
+}
+
 /// Guards against votes that are forgotten or counted twice while several candidates ask in the
 /// same term.
 #[test]
@@ -300,6 +306,9 @@
 fn kept_seeds() {
     // A learner that was removed and added again was told to leave after it became a voter.
     run(30_084, 5, 1, &REPLACEMENTS);
+    // A voter waited for the vote of a learner that had newer entries and did not know of its
+    // promotion, so nobody could be elected.
+    run(209_577, 3, 1, &REPLACEMENTS);
     // Removing a lost voter before its replacement was promoted ended the group when a second
     // disk was lost while the first voter was only cut off.
     run(20_130, 3, 1, &REPLACEMENTS);
