Look keys up by id without a scan

Cause: giving or withdrawing a key compared its id with that of every key, so applying the log again after a restart took time quadratic in the number of keys. Change: the state keeps the set of key ids, derived from the configuration.

--- a/crates/consensus/src/submissions.rs
+++ b/crates/consensus/src/submissions.rs
@@ -89,6 +89,8 @@
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Submissions {
     config: FleetConfig,
+    /// Ids of the keys in `config`, which holds the keys by hash.
+    key_ids: BTreeSet<KeyId>,
     results: BTreeMap<SubmissionId, StoredResult>,
     /// Ids of `results`, oldest first.
     result_order: VecDeque<SubmissionId>,
@@ -197,25 +199,28 @@
                 conflict(self.config.service_revision(service), submission.replaces)
             }
             Change::GiveKey { key_id, hash, .. } => {
-                let taken = self.has_key(key_id)
+                let taken = self.key_ids.contains(key_id)
                     || self.withdrawn.contains(key_id)
                     || self.config.keys.contains_key(hash);
                 taken.then_some(SubmissionResult::KeyNotNew)
             }
             Change::WithdrawKey { key_id } => {
-                (!self.has_key(key_id)).then_some(SubmissionResult::NotFound)
+                (!self.key_ids.contains(key_id)).then_some(SubmissionResult::NotFound)
             }
         }
     }
 
-    fn has_key(&self, key_id: &KeyId) -> bool {
-        self.config.keys.values().any(|key| &key.key_id == key_id)
-    }
-
     fn accept(&mut self, change: Change, bytes: usize) -> SubmissionResult {
         let revision = self.config.revision.next();
-        if let Change::WithdrawKey { key_id } = &change {
-            self.keep_withdrawn(key_id.clone());
+        match &change {
+            Change::GiveKey { key_id, .. } => {
+                self.key_ids.insert(key_id.clone());
+            }
+            Change::WithdrawKey { key_id } => {
+                self.key_ids.remove(key_id);
+                self.keep_withdrawn(key_id.clone());
+            }
+            Change::PutService { .. } | Change::RemoveService { .. } => {}
         }
         let record = ChangeRecord { revision, change };
         self.config.apply(&record);
@@ -300,7 +305,9 @@
             return Err(StateError::Format(state.format));
         }
         let records_bytes = state.records.iter().map(|(_, bytes)| bytes).sum();
+        let keys = state.config.keys.values();
         Ok(Self {
+            key_ids: keys.map(|key| key.key_id.clone()).collect(),
             config: state.config,
             result_order: state.results.iter().map(|(id, _)| id.clone()).collect(),
             results: state.results.into_iter().collect(),
