Ignore entries that do not follow the position they claim

Cause: an append whose first entry is not the one after prev_index would have made a hole in the log. Change: such a message is dropped.

--- a/crates/consensus/src/follower.rs
+++ b/crates/consensus/src/follower.rs
@@ -15,6 +15,10 @@
         mut entries: Vec<Entry>,
     ) {
         let (mut prev_index, mut prev_term) = prev;
+        let follows = |entry: &Entry| entry.index.checked_sub(1) == Some(prev_index);
+        if !entries.first().is_none_or(follows) {
+            return;
+        }
         if prev_index < self.commit {
             // Committed entries equal the leader's, so only the part behind them matters.
             entries.retain(|entry| entry.index > self.commit);
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`Replica`] is a state machine: ticks, messages and proposals go in; messages, writes to sync,
 //! committed entries and confirmed reads come out of [`Replica::take_ready`]. [`Ready`] states
-//! which writes have to be durable before which messages may be sent.
+//! which writes have to be durable before which messages may be sent. The example `design_size`
+//! shows the loop around a replica, with the data directory and the state of the application.
 //!
 //! The protocol follows Raft (Ongaro and Ousterhout 2014; Ongaro's thesis 2014 for pre-vote, check
 //! quorum, read index, single-server membership changes and leadership transfer). The rule that a
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -195,6 +195,22 @@
     );
 }
 
+/// Guards against a hole in the log after a malformed message.
+#[test]
+fn entries_that_do_not_follow_are_ignored() {
+    let mut replica = replica(Vec::new());
+    let append = Body::Append {
+        prev_index: 1,
+        prev_term: 1,
+        commit: 1,
+        round: 0,
+        entries: vec![data(3, 2)],
+    };
+    receive(&mut replica, SECOND, 2, append);
+
+    assert_eq!(replica.last_index(), 1);
+}
+
 /// Guards against two votes in one term.
 #[test]
 fn second_candidate_of_a_term_gets_no_vote() {
