quorum: let the first requests of a limit wait for the leader's answer

Change: the holder tells apart not answered yet, lost and answering. Conclusion: a burst sent to one instance is usable.

--- a/crates/quorum/src/allocation/holder.rs
+++ b/crates/quorum/src/allocation/holder.rs
@@ -79,6 +79,17 @@
     Done,
 }
 
+/// What is known of the leader that answers for a limit.
+#[derive(Debug, Clone, Copy)]
+enum Contact {
+    /// No answer is due yet.
+    Asked,
+    /// There is no leader, or it does not answer.
+    Lost,
+    /// It answers, since this local time.
+    Since(Duration),
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Pending {
     number: u64,
@@ -100,7 +111,7 @@
     exhausted: bool,
     ask_at: Duration,
     max_wait: Duration,
-    reachable_since: Option<Duration>,
+    contact: Contact,
     waiting: u64,
     refused: u64,
     arrivals: u64,
@@ -170,10 +181,10 @@
             return Admission::Admitted;
         }
         if held.is_crowded(now, 0) {
-            match (held.reachable_since, held.exhausted) {
-                (None, _) => return Admission::Unavailable,
-                (Some(_), false) => {}
-                (Some(_), true) => {
+            match (held.contact, held.exhausted) {
+                (Contact::Lost, _) => return Admission::Unavailable,
+                (_, false) => {}
+                (_, true) => {
                     held.refused += 1;
                     self.ask(now, key);
                     return Admission::RateExceeded;
@@ -353,7 +364,7 @@
             return Admission::RateExceeded;
         };
         if !known || held.unanswered {
-            held.reachable_since = None;
+            held.contact = Contact::Lost;
         }
         let answer_at = held.pending.map_or(now, |pending| pending.sent_at) + ANSWER_TIMEOUT;
         let ask_at = if held.is_pending(now) {
@@ -393,7 +404,7 @@
             exhausted: false,
             ask_at: now,
             max_wait: Duration::ZERO,
-            reachable_since: None,
+            contact: Contact::Asked,
             waiting: 0,
             refused: 0,
             arrivals: 0,
@@ -445,13 +456,12 @@
 
     /// Requests that may wait. What gathers while the leader is lost may wait as well, and some time longer.
     fn allowed_waiting(&self, now: Duration) -> u64 {
-        let caught_up = self
-            .reachable_since
-            .is_some_and(|since| now >= since + CATCH_UP_TIME);
-        if caught_up {
-            return (tokens_in(self.fair_rate, self.max_wait) / TOKEN).max(1);
+        match self.contact {
+            Contact::Since(since) if now >= since + CATCH_UP_TIME => {
+                (tokens_in(self.fair_rate, self.max_wait) / TOKEN).max(1)
+            }
+            _ => (tokens_in(self.fair_rate, OUTAGE_TIME) / TOKEN).max(OUTAGE_WAITING),
         }
-        (tokens_in(self.fair_rate, OUTAGE_TIME) / TOKEN).max(OUTAGE_WAITING)
     }
 
     /// Whether more requests wait than can be admitted in time, not counting `included` of them.
@@ -528,7 +538,9 @@
         self.refresh(now);
         self.pending = None;
         self.unanswered = false;
-        self.reachable_since.get_or_insert(now);
+        if !matches!(self.contact, Contact::Since(_)) {
+            self.contact = Contact::Since(now);
+        }
         self.accepted = grant.number;
         self.refused = 0;
         self.exhausted = grant.exhausted;
