Judge latency by slot time instead of response times

Cause: in simulation, requests that wait in the queue of a server repeat the evidence of those in service, and an hour of fault-free load at 120 % ejected servers.

Change: the latency test counts responses over the use of the slots (a Poisson ratio, divided by the measured dispersion) instead of comparing histograms of response times. Cells lose `waiting` and `censored`. Failures with a response no longer count as a broken path, and instances that wait while others are answered are taken for cut off.

Still open: one ejection per hour at 90 % with heavy-tailed times (log-normal, sigma 1), and ejections when a whole zone of instances is cut off from a server.

--- a/crates/policy/src/alarm.rs
+++ b/crates/policy/src/alarm.rs
@@ -7,7 +7,6 @@
 
 use crate::explanation::{Cause, Evidence, Finding};
 use crate::key::ServerKey;
-use crate::latency::{BUCKETS_PER_DOUBLING, bucket_ms};
 use crate::pool::{Connectivity, Mode, Pooled, Reporter};
 
 /// Threshold for a server that returns. It was ejected before, so less evidence suffices.
@@ -20,8 +19,8 @@
 const LEAST_FAILURE_RATE: f64 = 0.1;
 const LEAST_FAILURE_FACTOR: f64 = 3.0;
 
-/// Lowest slow-down for an ejection: factor two, in buckets.
-const LEAST_SLOWDOWN: f64 = BUCKETS_PER_DOUBLING;
+/// Lowest slow-down for an ejection, as a factor of the slot time.
+const LEAST_SLOWDOWN: f64 = 2.0;
 
 /// Lowest slow-down in milliseconds, above the differences between availability zones.
 const LEAST_SLOWDOWN_MS: f64 = 10.0;
@@ -57,13 +56,6 @@
         };
         f64::midpoint(at((count - 1) / 2), at(count / 2))
     }
-
-    /// Median of the values of the others, drawn towards 0 when they are few.
-    pub(crate) fn shrunk(&self, server: ServerKey) -> f64 {
-        let count = u32::try_from(self.values.len()).unwrap_or(u32::MAX);
-        let count = f64::from(count);
-        self.others(server) * count / (count + 1.0)
-    }
 }
 
 /// A test that was passed.
@@ -151,7 +143,7 @@
 fn contribution(reporter: &Reporter, cause: Cause) -> f64 {
     match cause {
         Cause::Failures => reporter.failure,
-        Cause::Latency => reporter.total_latency(),
+        Cause::Latency => reporter.latency,
     }
 }
 
@@ -200,11 +192,14 @@
         if !has_effect(&evidence) {
             return None;
         }
-        let cut_off = match pooled.connectivity(self.tick) {
+        let mut cut_off = match pooled.connectivity(self.tick) {
             Connectivity::Undecided if !self.single_vantage => return None,
             Connectivity::Partial(instances) => instances,
             _ => Vec::new(),
         };
+        if self.cause == Cause::Latency {
+            cut_off.extend(pooled.unanswered_instances(self.tick));
+        }
         let instance = match self.blame(pooled, &cut_off, common, threshold) {
             Blame::Server => None,
             Blame::Path(instance) => Some(instance),
@@ -248,23 +243,21 @@
     }
 
     fn evidence(&self, pooled: &Pooled, score: f64, threshold: f64) -> Evidence {
-        let latency = pooled.latency_with_waiting();
         let requests = match self.cause {
             Cause::Failures => pooled.failure.requests,
-            Cause::Latency => latency.requests,
+            Cause::Latency => pooled.latency.requests,
         };
         let reporters = pooled
             .reporters
             .iter()
             .filter(|reporter| contribution(reporter, self.cause) > 0.0);
-        let deviation = latency.mean();
         Evidence {
             cause: self.cause,
             requests,
             failure_rate: pooled.failure.mean(),
             peer_failure_rate: pooled.peer_failure_rate,
-            typical_ms: bucket_ms(pooled.peer_position + deviation - 0.5),
-            peer_typical_ms: bucket_ms(pooled.peer_position - 0.5),
+            slot_ms: pooled.latency.mean(),
+            peer_slot_ms: pooled.peer_slot_ms,
             score,
             threshold,
             reporters: u32::try_from(reporters.count()).unwrap_or(u32::MAX),
@@ -282,9 +275,9 @@
             evidence.failure_rate >= LEAST_FAILURE_RATE.max(least.min(0.9))
         }
         Cause::Latency => {
-            let least = evidence.peer_typical_ms * (LEAST_SLOWDOWN / BUCKETS_PER_DOUBLING).exp2();
-            let excess = evidence.typical_ms - evidence.peer_typical_ms;
-            evidence.typical_ms >= least && excess >= LEAST_SLOWDOWN_MS
+            let least = evidence.peer_slot_ms * LEAST_SLOWDOWN;
+            let excess = evidence.slot_ms - evidence.peer_slot_ms;
+            evidence.slot_ms >= least && excess >= LEAST_SLOWDOWN_MS
         }
     }
 }
--- a/crates/policy/src/detector.rs
+++ b/crates/policy/src/detector.rs
@@ -28,7 +28,7 @@
 //! server with 24 reporters and 1.6 KB for a request class: 15 MB for 10,000 servers and 13 MB for
 //! 8,300 classes.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use radishpaddle_model::{Incarnation, InstanceId};
@@ -37,11 +37,9 @@
 use crate::evidence::{Cell, DRAIN_PERIOD};
 use crate::explanation::Finding;
 use crate::key::{RequestClass, ServerKey, ServiceKey, instance_key};
-use crate::latency::{BUCKETS_PER_DOUBLING, Histogram};
 use crate::pool::{Mode, Pooled, Trial};
-use crate::rates::FailureRates;
-use crate::reference::Reference;
-use crate::scoring::{is_suspicious, score_failures, score_latency, score_trial};
+use crate::rates::{Normal, Outcomes};
+use crate::scoring::{is_suspicious, outcomes, score_failures, score_latency, score_trial};
 
 /// False alarms per hour in the whole fleet that the threshold permits.
 const FALSE_ALARMS_PER_HOUR: f64 = 0.01;
@@ -52,15 +50,6 @@
 /// Memory of the scores. Evidence older than minutes says nothing about the present.
 const SCORE_MEMORY_S: f64 = 60.0;
 
-/// Memory of the present deviation from the reference.
-const RECENT_MEMORY_S: f64 = 2.0;
-
-/// Requests from which on a server counts as a peer for the median deviation.
-const LEAST_PEER_WEIGHT: f64 = 2.0;
-
-/// Part of the overload that remains after a tick; responses lag the load by a service time.
-const OVERLOAD_KEPT: f64 = 0.8;
-
 /// Time after its start in which a server is not judged by latency.
 pub const COLD_START: Duration = Duration::from_secs(10);
 
@@ -101,8 +90,7 @@
 
 #[derive(Debug)]
 struct Class {
-    reference: Reference,
-    rates: FailureRates,
+    normal: Normal,
     idle_s: f64,
 }
 
@@ -117,7 +105,6 @@
 struct Instance {
     id: InstanceId,
     reported_at: Duration,
-    reported_tick: u64,
     in_flight: Vec<(ServerKey, u32)>,
 }
 
@@ -288,7 +275,6 @@
         let known = Instance {
             id: instance.clone(),
             reported_at: now,
-            reported_tick: self.tick,
             in_flight,
         };
         self.instances.insert(key, known);
@@ -304,24 +290,16 @@
         self.decay(since.as_secs_f64());
         self.forget_silent(now);
         let pending = std::mem::take(&mut self.pending);
-        let own = self.observe(&pending, since.as_secs_f64());
         let mut services: Vec<ServiceKey> = pending.iter().map(|entry| entry.service).collect();
         services.sort_unstable();
         services.dedup();
+        self.observe_use(&pending, since.as_secs_f64());
+        let own = self.observe(&pending, since.as_secs_f64());
         for entry in &pending {
-            self.observe_deviation(entry);
-        }
-        for service in &services {
-            self.set_shifts(*service);
-        }
-        for entry in &pending {
-            self.score(entry, own[&(entry.cell.server, entry.cell.class)], now);
+            self.score(entry, &own[&(entry.cell.server, entry.cell.class)], now);
         }
         self.servers.values_mut().for_each(Pooled::settle);
-        let common = self.common_causes(&services);
-        for entry in &pending {
-            self.learn(entry, &common);
-        }
+        self.learn(&own, &services);
         services
             .iter()
             .flat_map(|service| self.findings(*service))
@@ -330,13 +308,11 @@
 
     fn decay(&mut self, elapsed_s: f64) {
         let kept = (-elapsed_s / SCORE_MEMORY_S).exp();
-        let recent_kept = (-elapsed_s / RECENT_MEMORY_S).exp();
         for pooled in self.servers.values_mut() {
-            pooled.decay(kept, recent_kept);
+            pooled.decay(kept);
         }
         for class in self.classes.values_mut() {
-            class.reference.decay(elapsed_s);
-            class.rates.decay(elapsed_s);
+            class.normal.decay(elapsed_s);
             class.idle_s += elapsed_s;
         }
         if self.classes.len() > MAX_CLASSES {
@@ -348,21 +324,11 @@
         let Some(known) = self.instances.get_mut(&key) else {
             return;
         };
-        let again = known.reported_tick == self.tick;
         for (server, count) in std::mem::take(&mut known.in_flight) {
             if let Some(pooled) = self.servers.get_mut(&server) {
                 pooled.in_flight = pooled.in_flight.saturating_sub(count);
-                pooled.clear_waiting(key);
             }
         }
-        if again {
-            // Requests in flight are a state; the newer report replaces that of the same tick.
-            let same = self
-                .pending
-                .iter_mut()
-                .filter(|entry| entry.instance == key);
-            same.for_each(|entry| entry.cell.waiting = Histogram::default());
-        }
     }
 
     fn forget_silent(&mut self, now: Duration) {
@@ -379,112 +345,82 @@
         }
     }
 
-    /// Counts outcomes and load of the tick; returns the outcomes per server and class as
-    /// (requests, failures).
-    fn observe(&mut self, pending: &[Pending], elapsed_s: f64) -> HashMap<CellKey, (f64, f64)> {
-        let mut own: HashMap<CellKey, (f64, f64)> = HashMap::new();
+    /// Determines which part of the requests in flight at each server used its slots.
+    fn observe_use(&mut self, pending: &[Pending], elapsed_s: f64) {
+        for entry in pending {
+            if let Some(pooled) = self.servers.get_mut(&entry.cell.server) {
+                pooled.tick_busy_ms += f64::from(entry.cell.busy_ms);
+            }
+        }
+        for pooled in self.servers.values_mut() {
+            pooled.close_use(elapsed_s * 1000.0);
+        }
+    }
+
+    /// Counts the outcomes of the tick, and returns them per server and class.
+    fn observe(&mut self, pending: &[Pending], elapsed_s: f64) -> BTreeMap<CellKey, Outcomes> {
+        let mut own: BTreeMap<CellKey, Outcomes> = BTreeMap::new();
         let mut requests = 0.0;
         for entry in pending {
             let cell = &entry.cell;
-            let (succeeded, failed) = (f64::from(cell.succeeded), f64::from(cell.failures()));
-            requests += succeeded + failed;
-            let outcomes = own.entry((cell.server, cell.class)).or_default();
-            outcomes.0 += succeeded + failed;
-            outcomes.1 += failed;
-            let class = self.class(entry.service, cell.class);
-            class.rates.observe(succeeded + failed, failed);
-            if let Some(pooled) = self.servers.get_mut(&cell.server) {
-                pooled.busy_ms += f64::from(cell.busy_ms);
+            let Some(pooled) = self.servers.get(&cell.server) else {
+                continue;
+            };
+            let outcomes = outcomes(cell, pooled.use_factor);
+            requests += outcomes.succeeded + outcomes.failed;
+            own.entry((cell.server, cell.class))
+                .or_default()
+                .add(&outcomes);
+            if pooled.mode != Mode::Ejected {
+                self.class(entry.service, cell.class)
+                    .normal
+                    .observe(&outcomes);
             }
         }
-        self.observe_load(elapsed_s);
         let gain = (elapsed_s / RATE_MEMORY_S).min(1.0);
         let rate = requests / elapsed_s.max(0.001);
         self.requests_per_s += gain * (rate - self.requests_per_s);
         own
     }
 
-    fn observe_load(&mut self, elapsed_s: f64) {
-        for pooled in self.servers.values_mut() {
-            let in_flight = pooled.busy_ms / (elapsed_s * 1000.0).max(1.0);
-            let overload = in_flight / f64::from(pooled.slots);
-            pooled.overload = overload.max(pooled.overload * OVERLOAD_KEPT).max(1.0);
-            pooled.busy_ms = 0.0;
-        }
-    }
-
     fn class(&mut self, service: ServiceKey, class: RequestClass) -> &mut Class {
         let class = self
             .classes
             .entry((service, class))
             .or_insert_with(|| Class {
-                reference: Reference::new(),
-                rates: FailureRates::default(),
+                normal: Normal::default(),
                 idle_s: 0.0,
             });
         class.idle_s = 0.0;
-        class.reference.refresh();
         class
     }
 
-    fn observe_deviation(&mut self, entry: &Pending) {
-        let class = &self.classes[&(entry.service, entry.cell.class)];
-        let Some(pooled) = self.servers.get_mut(&entry.cell.server) else {
-            return;
-        };
-        if !class.reference.is_ready() || pooled.mode != Mode::Rotation {
-            return;
-        }
-        let load = pooled.overload.log2() * BUCKETS_PER_DOUBLING;
-        for times in &entry.cell.latency.0 {
-            let position = f64::from(times.bucket) + 0.5 - load - class.reference.mean();
-            let count = f64::from(times.count);
-            pooled.recent_sum += position * count;
-            pooled.recent_weight += count;
-        }
-    }
-
-    fn set_shifts(&mut self, service: ServiceKey) {
-        let members = &self.services[&service];
-        let deviations: Vec<(ServerKey, f64)> = members
-            .iter()
-            .filter_map(|server| {
-                let pooled = &self.servers[server];
-                let known = pooled.recent_weight >= LEAST_PEER_WEIGHT;
-                known.then(|| (*server, pooled.recent_sum / pooled.recent_weight))
-            })
-            .collect();
-        let medians = alarm::PeerMedian::new(&deviations);
-        for server in members {
-            if let Some(pooled) = self.servers.get_mut(server) {
-                pooled.shift = medians.shrunk(*server);
-            }
-        }
-    }
-
-    fn score(&mut self, entry: &Pending, own: (f64, f64), now: Duration) {
-        let class = &self.classes[&(entry.service, entry.cell.class)];
-        let Some(pooled) = self.servers.get_mut(&entry.cell.server) else {
-            return;
-        };
+    fn score(&mut self, entry: &Pending, own: &Outcomes, now: Duration) {
         let cell = &entry.cell;
-        let reference = class.reference.is_ready().then_some(&class.reference);
-        if pooled.mode == Mode::Trial {
-            score_trial(pooled, cell, reference);
-        }
-        if !matches!(pooled.mode, Mode::Rotation | Mode::Ramp) {
+        let (Some(pooled), Some(class)) = (
+            self.servers.get_mut(&cell.server),
+            self.classes.get(&(entry.service, cell.class)),
+        ) else {
             return;
+        };
+        let normal = &class.normal;
+        match pooled.mode {
+            Mode::Ejected => return,
+            Mode::Trial => return score_trial(pooled, cell, own, normal),
+            Mode::Rotation | Mode::Ramp => {}
         }
-        let peer_rate = class.rates.peer_rate(own.0, own.1);
+        let peer_rate = normal.peer_failure_rate(own);
         score_failures(pooled, entry.instance, cell, peer_rate, self.tick);
-        if let Some(reference) = reference.filter(|_| now >= pooled.cold_until) {
-            score_latency(pooled, entry.instance, cell, reference);
+        let slot_ms = normal.peer_slot_ms(own);
+        if let Some(slot_ms) = slot_ms.filter(|_| now >= pooled.cold_until) {
+            let dispersion = normal.dispersion();
+            score_latency(pooled, entry.instance, cell, slot_ms, dispersion);
         }
     }
 
-    /// Services of which more than half of the servers are suspicious; their requests are learned
-    /// all the same, since the cause is common.
-    fn common_causes(&self, services: &[ServiceKey]) -> Vec<ServiceKey> {
+    /// Learns what is normal from the servers in rotation that are not suspicious. If more than
+    /// half of the servers of a service are, the cause is common, and all are learned.
+    fn learn(&mut self, own: &BTreeMap<CellKey, Outcomes>, services: &[ServiceKey]) {
         let is_common = |service: &&ServiceKey| {
             let members = &self.services[service];
             let suspicious = members
@@ -492,26 +428,19 @@
                 .filter(|server| is_suspicious(&self.servers[server]));
             suspicious.count() * 2 > members.len()
         };
-        services.iter().filter(is_common).copied().collect()
-    }
-
-    fn learn(&mut self, entry: &Pending, common: &[ServiceKey]) {
-        let cell = &entry.cell;
-        let Some(pooled) = self.servers.get(&cell.server) else {
-            return;
-        };
-        let is_common = common.contains(&entry.service);
-        if pooled.mode != Mode::Rotation || (is_suspicious(pooled) && !is_common) {
-            return;
+        let common: Vec<ServiceKey> = services.iter().filter(is_common).copied().collect();
+        for ((server, class), outcomes) in own {
+            let Some(pooled) = self.servers.get(server) else {
+                continue;
+            };
+            let is_common = common.contains(&pooled.service);
+            if pooled.mode != Mode::Rotation || (is_suspicious(pooled) && !is_common) {
+                continue;
+            }
+            if let Some(class) = self.classes.get_mut(&(pooled.service, *class)) {
+                class.normal.learn(outcomes);
+            }
         }
-        let Some(class) = self.classes.get_mut(&(entry.service, cell.class)) else {
-            return;
-        };
-        let failed = f64::from(cell.failures());
-        class
-            .rates
-            .learn(f64::from(cell.succeeded) + failed, failed);
-        class.reference.learn(&cell.latency);
     }
 
     fn findings(&mut self, service: ServiceKey) -> Vec<Finding> {
--- a/crates/policy/src/ejection.rs
+++ b/crates/policy/src/ejection.rs
@@ -561,7 +561,7 @@
 }
 
 fn judge(result: &Trial, since: Duration, now: Duration) -> Judgement {
-    let score = result.latency_score + result.waiting_score;
+    let score = result.latency_score;
     if result.failed > 0 || score >= TRIAL_FAILURE_SCORE {
         return Judgement::Failed;
     }
--- a/crates/policy/src/evidence.rs
+++ b/crates/policy/src/evidence.rs
@@ -42,7 +42,7 @@
 }
 
 /// Evidence of one entry instance about one backend server and request class over one drain
-/// period. Counts are of the period; `in_flight` and `waiting` are the state at its end.
+/// period. Counts are of the period; `in_flight` is the state at its end.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Cell {
     /// The backend server.
@@ -65,7 +65,8 @@
     pub connection_lost: u32,
     /// Requests shed; not a fault.
     pub shed: u32,
-    /// Requests cancelled; not a fault.
+    /// Requests cancelled, and time-outs of requests that were sent above the slot count; not a
+    /// fault.
     pub cancelled: u32,
     /// Requests in flight at the end of the period.
     pub in_flight: u32,
@@ -73,10 +74,6 @@
     pub busy_ms: u32,
     /// Service times of the successful responses to requests sent while a slot was free.
     pub latency: Histogram,
-    /// Lower bounds of service times: cancelled requests, and time-outs above the slot count.
-    pub censored: Histogram,
-    /// Ages of the requests in flight that were sent while a slot was free.
-    pub waiting: Histogram,
 }
 
 impl Cell {
@@ -96,17 +93,29 @@
             in_flight: 0,
             busy_ms: 0,
             latency: Histogram::default(),
-            censored: Histogram::default(),
-            waiting: Histogram::default(),
         }
     }
 
     /// Requests that failed by fault of the server or the path.
     #[must_use]
     pub fn failures(&self) -> u32 {
-        let answered = self.errors.saturating_add(self.truncated);
+        let faulty = self.errors.saturating_add(self.truncated);
+        faulty.saturating_add(self.unreached())
+    }
+
+    /// Requests without any response by fault of the server or the path.
+    #[must_use]
+    pub fn unreached(&self) -> u32 {
         let lost = self.connect_failed.saturating_add(self.connection_lost);
-        answered.saturating_add(lost).saturating_add(self.timed_out)
+        lost.saturating_add(self.timed_out)
+    }
+
+    /// Responses of the server, whether good or not. Shed requests are none, since they used no
+    /// slot.
+    #[must_use]
+    pub fn responses(&self) -> u32 {
+        let faulty = self.errors.saturating_add(self.truncated);
+        self.succeeded.saturating_add(faulty)
     }
 
     fn is_idle(&self) -> bool {
@@ -118,7 +127,7 @@
             self.cancelled,
             self.in_flight,
         ];
-        counts.iter().all(|count| *count == 0) && self.censored.is_empty()
+        counts.iter().all(|count| *count == 0)
     }
 }
 
@@ -229,9 +238,8 @@
         self.in_flight.get(&server).copied().unwrap_or(0)
     }
 
-    /// Ends the period and returns its cells. Costs one step per cell and request in flight.
+    /// Ends the period and returns its cells. Costs one step per cell.
     pub fn drain(&mut self, now: Duration) -> Vec<Cell> {
-        self.add_waiting(now);
         let mut drained = Vec::with_capacity(self.cells.len());
         for open in self.cells.values_mut() {
             let cell = open.close(now);
@@ -244,17 +252,6 @@
         drained
     }
 
-    fn add_waiting(&mut self, now: Duration) {
-        for dispatch in self.dispatches.iter().filter_map(|slot| slot.dispatch) {
-            if dispatch.over_slots {
-                continue;
-            }
-            if let Some(open) = self.cells.get_mut(&(dispatch.server, dispatch.class)) {
-                open.cell.waiting.add(now.saturating_sub(dispatch.at));
-            }
-        }
-    }
-
     fn class_in_use(&self, server: ServerKey, class: RequestClass) -> RequestClass {
         if self.cells.len() < MAX_CELLS || self.cells.contains_key(&(server, class)) {
             class
@@ -337,17 +334,12 @@
         }
         Completion::Truncated => cell.truncated += 1,
         // Above the slot count the time may have passed in the queue of the server.
-        Completion::TimedOut if over_slots => cell.censored.add(elapsed),
+        Completion::TimedOut if over_slots => cell.cancelled += 1,
         Completion::TimedOut => cell.timed_out += 1,
         Completion::Shed => cell.shed += 1,
         Completion::ConnectFailed => cell.connect_failed += 1,
         Completion::ConnectionLost => cell.connection_lost += 1,
-        Completion::Cancelled => {
-            cell.cancelled += 1;
-            if !over_slots {
-                cell.censored.add(elapsed);
-            }
-        }
+        Completion::Cancelled => cell.cancelled += 1,
         Completion::ChargedToRequest => {}
     }
 }
--- a/crates/policy/src/explanation.rs
+++ b/crates/policy/src/explanation.rs
@@ -28,10 +28,11 @@
     pub failure_rate: f64,
     /// Failure rate of the peers, 0 to 1.
     pub peer_failure_rate: f64,
-    /// Typical time in milliseconds, corrected for load; includes requests in flight.
-    pub typical_ms: f64,
-    /// Typical time of the peers in milliseconds.
-    pub peer_typical_ms: f64,
+    /// Slot time: use of the slots over the responses, in milliseconds. Requests that wait in the
+    /// server use no slot, so the slot time does not grow with the load.
+    pub slot_ms: f64,
+    /// Slot time of the peers in milliseconds.
+    pub peer_slot_ms: f64,
     /// Log-likelihood ratio that was reached.
     pub score: f64,
     /// Threshold of the ratio.
@@ -48,7 +49,7 @@
     #[must_use]
     pub fn severity(&self) -> f64 {
         let excess = (self.failure_rate - self.peer_failure_rate).max(0.0);
-        let slowdown = self.typical_ms / self.peer_typical_ms.max(1.0);
+        let slowdown = self.slot_ms / self.peer_slot_ms.max(1.0);
         match self.cause {
             Cause::Failures => 10.0 * excess,
             Cause::Latency => slowdown.max(1.0).ln(),
@@ -68,8 +69,8 @@
             )?,
             Cause::Latency => write!(
                 f,
-                "typical time {:.0} ms over {:.0} requests, peers {:.0} ms",
-                self.typical_ms, self.requests, self.peer_typical_ms
+                "slot time {:.0} ms over {:.0} responses, peers {:.0} ms",
+                self.slot_ms, self.requests, self.peer_slot_ms
             )?,
         }
         write!(
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,7 +20,6 @@
 pub mod probation;
 pub mod quarantine;
 mod rates;
-mod reference;
 mod rollout;
 pub mod router;
 mod scoring;
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -11,8 +11,8 @@
 /// instance with the fewest requests.
 const MAX_REPORTERS: usize = 24;
 
-/// Failures in a row, without success, from which on an instance counts as cut off from the
-/// server. With 30 % failures three in a row have probability 0.027.
+/// Requests in a row without any response from which on an instance counts as cut off from the
+/// server. If 30 % of the requests get no response, three in a row have probability 0.027.
 const CUT_OFF_RUN: u32 = 3;
 
 /// Evidence for one of the two tests.
@@ -22,7 +22,7 @@
     pub(crate) score: f64,
     /// Requests since then.
     pub(crate) requests: f64,
-    /// Failures since then, or sum of the positions on the bucket scale for latency.
+    /// Failures since then, or use of the slots in milliseconds for latency.
     pub(crate) sum: f64,
 }
 
@@ -44,25 +44,16 @@
     }
 }
 
-/// Requests in flight as evidence; replaced with each report.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct Waiting {
-    pub(crate) score: f64,
-    pub(crate) requests: f64,
-    pub(crate) position_sum: f64,
-}
-
 /// Part of one entry instance in the evidence about a server.
 #[derive(Debug, Clone)]
 pub(crate) struct Reporter {
     pub(crate) instance: u64,
     pub(crate) failure: f64,
     pub(crate) latency: f64,
-    pub(crate) waiting: Waiting,
     requests: f64,
     run: u32,
     run_began: u64,
-    last_success: u64,
+    last_reached: u64,
 }
 
 impl Reporter {
@@ -71,33 +62,29 @@
             instance,
             failure: 0.0,
             latency: 0.0,
-            waiting: Waiting::default(),
             requests: 0.0,
             run: 0,
             run_began: 0,
-            last_success: 0,
+            last_reached: 0,
         }
     }
 
-    /// Records the outcomes of one tick; ticks are numbered from 1.
-    pub(crate) fn outcomes(&mut self, succeeded: u32, failed: u32, tick: u64) {
-        self.requests += f64::from(succeeded) + f64::from(failed);
-        if succeeded > 0 {
-            self.last_success = tick;
+    /// Records the outcomes of one tick; ticks are numbered from 1. A response with an error
+    /// status shows that the path works, so it counts as reached.
+    pub(crate) fn outcomes(&mut self, reached: u32, unreached: u32, tick: u64) {
+        self.requests += f64::from(reached) + f64::from(unreached);
+        if reached > 0 {
+            self.last_reached = tick;
             self.run = 0;
-        }
-        if failed > 0 {
+        } else if unreached > 0 {
             if self.run == 0 {
                 self.run_began = tick;
             }
-            // The order within a tick is not known; a tick with successes begins no run.
-            if succeeded == 0 {
-                self.run = self.run.saturating_add(failed);
-            }
+            self.run = self.run.saturating_add(unreached);
         }
     }
 
-    /// Whether every recent request of this instance failed.
+    /// Whether no recent request of this instance reached the server.
     pub(crate) fn is_cut_off(&self) -> bool {
         self.run >= CUT_OFF_RUN
     }
@@ -106,10 +93,6 @@
     pub(crate) fn requests(&self) -> f64 {
         self.requests
     }
-
-    pub(crate) fn total_latency(&self) -> f64 {
-        self.latency + self.waiting.score
-    }
 }
 
 /// Where a server stands, as far as scoring is concerned.
@@ -132,8 +115,6 @@
     pub(crate) succeeded: u32,
     pub(crate) failed: u32,
     pub(crate) latency_score: f64,
-    /// Score of the request in flight; replaced with each report.
-    pub(crate) waiting_score: f64,
 }
 
 /// State of one backend server at the leader.
@@ -150,18 +131,16 @@
     pub(crate) trial: Trial,
     pub(crate) reporters: Vec<Reporter>,
     pub(crate) in_flight: u32,
-    /// Requests in flight per slot, at least 1; falls slowly because responses lag the load.
-    pub(crate) overload: f64,
-    pub(crate) busy_ms: f64,
-    /// Recent mean deviation from the reference, on the bucket scale.
-    pub(crate) recent_sum: f64,
-    pub(crate) recent_weight: f64,
-    /// Failure rate of the peers, weighted by the request classes of the last tick.
+    /// Use of the slots in the present tick, in request-milliseconds.
+    pub(crate) tick_busy_ms: f64,
+    /// Part of the requests in flight that use a slot; the others wait in the server.
+    pub(crate) use_factor: f64,
+    /// Timed out and cancelled requests since the latency score was last at or below zero.
+    pub(crate) given_up: f64,
+    /// Failure rate of the peers.
     pub(crate) peer_failure_rate: f64,
-    /// Median deviation of the peers from the reference, on the bucket scale.
-    pub(crate) shift: f64,
-    /// Typical position of the peers on the bucket scale.
-    pub(crate) peer_position: f64,
+    /// Time in milliseconds for which a response of the peers used a slot.
+    pub(crate) peer_slot_ms: f64,
 }
 
 impl Pooled {
@@ -178,13 +157,11 @@
             trial: Trial::default(),
             reporters: Vec::new(),
             in_flight: 0,
-            overload: 1.0,
-            busy_ms: 0.0,
-            recent_sum: 0.0,
-            recent_weight: 0.0,
+            tick_busy_ms: 0.0,
+            use_factor: 1.0,
+            given_up: 0.0,
             peer_failure_rate: 0.0,
-            shift: 0.0,
-            peer_position: 0.0,
+            peer_slot_ms: 0.0,
         }
     }
 
@@ -209,23 +186,11 @@
         at
     }
 
-    /// Clears the requests in flight of an instance that reports none.
-    pub(crate) fn clear_waiting(&mut self, instance: u64) {
-        let reporter = self
-            .reporters
-            .iter_mut()
-            .find(|reporter| reporter.instance == instance);
-        if let Some(reporter) = reporter {
-            reporter.waiting = Waiting::default();
-        }
-    }
-
-    /// Forgets old evidence: scores by `kept`, recent means by `recent_kept`.
-    pub(crate) fn decay(&mut self, kept: f64, recent_kept: f64) {
+    /// Forgets old evidence.
+    pub(crate) fn decay(&mut self, kept: f64) {
         self.failure.scale(kept);
         self.latency.scale(kept);
-        self.recent_sum *= recent_kept;
-        self.recent_weight *= recent_kept;
+        self.given_up *= kept;
         for reporter in &mut self.reporters {
             reporter.failure *= kept;
             reporter.latency *= kept;
@@ -233,6 +198,13 @@
         }
     }
 
+    /// Ends the count of the slots in use over a tick.
+    pub(crate) fn close_use(&mut self, elapsed_ms: f64) {
+        let busy_ms = std::mem::take(&mut self.tick_busy_ms);
+        let available_ms = f64::from(self.slots) * elapsed_ms;
+        self.use_factor = (available_ms / busy_ms.max(1.0)).min(1.0);
+    }
+
     /// Restarts a test whose score is at or below zero (CUSUM).
     pub(crate) fn settle(&mut self) {
         if self.failure.score <= 0.0 {
@@ -248,8 +220,6 @@
         self.clear_failures();
         self.clear_latency();
         self.trial = Trial::default();
-        self.recent_sum = 0.0;
-        self.recent_weight = 0.0;
         self.reporters.clear();
     }
 
@@ -262,6 +232,7 @@
 
     fn clear_latency(&mut self) {
         self.latency = Track::default();
+        self.given_up = 0.0;
         for reporter in &mut self.reporters {
             reporter.latency = 0.0;
         }
@@ -280,29 +251,33 @@
             Cause::Failures => self.failure.score -= std::mem::take(&mut reporter.failure),
             Cause::Latency => {
                 self.latency.score -= std::mem::take(&mut reporter.latency);
-                reporter.waiting = Waiting::default();
             }
         }
     }
 
-    /// Score of the latency test with the requests in flight.
+    /// Score of the latency test. It is bounded per request that was in service since the score
+    /// was last at or below zero, because a single request may take long for its own reasons.
     pub(crate) fn latency_score(&self) -> f64 {
-        let waiting: f64 = self
-            .reporters
-            .iter()
-            .map(|reporter| reporter.waiting.score)
-            .sum();
-        self.latency.score + waiting
+        let in_service = f64::from(self.in_flight.min(self.slots));
+        let requests = self.latency.requests + self.given_up + in_service;
+        self.latency.score.min(requests * HIGHEST_RATIO)
     }
 
-    /// Latency evidence with the requests in flight.
-    pub(crate) fn latency_with_waiting(&self) -> Track {
-        let mut track = self.latency;
-        for reporter in &self.reporters {
-            let waiting = &reporter.waiting;
-            track.add(waiting.score, waiting.requests, waiting.position_sum);
+    /// Instances that wait for responses while others get theirs in normal time; empty when the
+    /// server is slow for all. A path that drops responses shows as slowness until the first
+    /// time-out.
+    pub(crate) fn unanswered_instances(&self, tick: u64) -> Vec<u64> {
+        let is_answered = |reporter: &&Reporter| reporter.last_reached + ANSWERED_TICKS >= tick;
+        let answered = self.reporters.iter().filter(is_answered);
+        let score: f64 = answered.map(|reporter| reporter.latency).sum();
+        if score > NORMAL_SCORE {
+            return Vec::new();
         }
-        track
+        let unanswered = self.reporters.iter();
+        unanswered
+            .filter(|reporter| !is_answered(reporter) && reporter.latency > 0.0)
+            .map(|reporter| reporter.instance)
+            .collect()
     }
 
     /// Who is cut off from the server, and whether that is the path or the server.
@@ -315,7 +290,7 @@
             return Connectivity::Whole;
         };
         let works = self.reporters.iter().any(|reporter| {
-            !reporter.is_cut_off() && reporter.last_success > began + OVERLAP_TICKS
+            !reporter.is_cut_off() && reporter.last_reached > began + OVERLAP_TICKS
         });
         if works {
             Connectivity::Partial(cut_off.map(|reporter| reporter.instance).collect())
@@ -327,10 +302,20 @@
     }
 }
 
+/// Bound of the latency score per request. Three hung slots then suffice for the lowest threshold
+/// of 18, two do not.
+const HIGHEST_RATIO: f64 = 7.0;
+
 /// Drain periods of the instances are not aligned, so a success before a crash may arrive one
 /// tick after the first failure.
 const OVERLAP_TICKS: u64 = 1;
 
+/// Ticks after a response in which an instance counts as answered.
+const ANSWERED_TICKS: u64 = 2;
+
+/// Latency score at or below which the instances that are answered see a normal server.
+const NORMAL_SCORE: f64 = -2.0;
+
 /// Ticks after the first failure in which successes of other instances can show that the path is
 /// at fault.
 const DECISION_TICKS: u64 = 2;
@@ -340,7 +325,7 @@
 pub(crate) enum Connectivity {
     /// No instance is cut off.
     Whole,
-    /// The server works for some instances; these ones are cut off.
+    /// The server responds to some instances; these ones are cut off.
     Partial(Vec<u64>),
     /// Some are cut off, and it is too early to know whether it works for others.
     Undecided,
--- a/crates/policy/src/scoring.rs
+++ b/crates/policy/src/scoring.rs
@@ -1,34 +1,25 @@
-//! Turns one cell into log-likelihood ratios of a server.
+//! Adds the outcomes of one cell to the scores of a server.
 
 use crate::evidence::Cell;
-use crate::latency::{BUCKETS_PER_DOUBLING, Histogram};
-use crate::pool::{Mode, Pooled};
-use crate::rates::failure_ratio;
-use crate::reference::Reference;
+use crate::pool::Pooled;
+use crate::rates::{Normal, Outcomes, failure_ratio, latency_ratio};
 
 /// Score from which on the requests of a server are not learned as normal.
 const SUSPICION: f64 = 3.0;
 
-/// Ratio from which on a request in flight counts in the typical time that is shown; younger ones
-/// say nothing yet.
-const TELLING_RATIO: f64 = 0.5;
-
-/// Evidence of a histogram.
-#[derive(Debug, Clone, Copy, Default)]
-struct Scored {
-    score: f64,
-    requests: f64,
-    position_sum: f64,
-}
-
 /// Whether a server has evidence against it that makes its requests unfit as a reference.
 pub(crate) fn is_suspicious(pooled: &Pooled) -> bool {
-    pooled.failure.score > SUSPICION || pooled.latency_score() > SUSPICION
+    pooled.failure.score > SUSPICION || pooled.latency.score > SUSPICION
 }
 
-/// Deviation from the reference that the load and the peers explain, in buckets.
-fn explained(pooled: &Pooled) -> f64 {
-    pooled.overload.log2() * BUCKETS_PER_DOUBLING + pooled.shift
+/// Outcomes of a cell at a server of which `use_factor` of the requests in flight use slots.
+pub(crate) fn outcomes(cell: &Cell, use_factor: f64) -> Outcomes {
+    Outcomes {
+        succeeded: f64::from(cell.succeeded),
+        failed: f64::from(cell.failures()),
+        responses: f64::from(cell.responses()),
+        busy_ms: f64::from(cell.busy_ms) * use_factor,
+    }
 }
 
 pub(crate) fn score_failures(
@@ -38,82 +29,44 @@
     peer_rate: f64,
     tick: u64,
 ) {
-    let (succeeded, failed) = (cell.succeeded, cell.failures());
-    if succeeded + failed == 0 {
+    let outcomes = outcomes(cell, pooled.use_factor);
+    let requests = outcomes.succeeded + outcomes.failed;
+    if requests <= 0.0 {
         return;
     }
-    let score = failure_ratio(f64::from(succeeded), f64::from(failed), peer_rate);
+    let score = failure_ratio(&outcomes, peer_rate);
     pooled.peer_failure_rate = peer_rate;
-    pooled
-        .failure
-        .add(score, f64::from(succeeded + failed), f64::from(failed));
+    pooled.failure.add(score, requests, outcomes.failed);
     let reporter = pooled.reporter(instance);
     reporter.failure += score;
-    reporter.outcomes(succeeded, failed, tick);
+    reporter.outcomes(cell.responses(), cell.unreached(), tick);
 }
 
 pub(crate) fn score_latency(
     pooled: &mut Pooled,
     instance: u64,
     cell: &Cell,
-    reference: &Reference,
+    slot_ms: f64,
+    dispersion: f64,
 ) {
-    let explained = explained(pooled);
-    pooled.peer_position = reference.mean() + pooled.shift;
-    let complete = score_complete(&cell.latency, reference, explained);
-    let censored = score_censored(&cell.censored, reference, explained);
-    let waiting = score_censored(&cell.waiting, reference, explained);
-    for scored in [complete, censored] {
-        let (score, requests) = (scored.score, scored.requests);
-        pooled.latency.add(score, requests, scored.position_sum);
-    }
-    if complete.requests + censored.requests + waiting.requests == 0.0 {
+    let outcomes = outcomes(cell, pooled.use_factor);
+    if outcomes.responses + outcomes.busy_ms <= 0.0 {
         return;
     }
-    let reporter = pooled.reporter(instance);
-    reporter.latency += complete.score + censored.score;
-    reporter.waiting.score += waiting.score;
-    reporter.waiting.requests += waiting.requests;
-    reporter.waiting.position_sum += waiting.position_sum;
+    let score = latency_ratio(&outcomes, slot_ms, dispersion);
+    pooled.peer_slot_ms = slot_ms;
+    pooled
+        .latency
+        .add(score, outcomes.responses, outcomes.busy_ms);
+    pooled.given_up += f64::from(cell.timed_out) + f64::from(cell.cancelled);
+    pooled.reporter(instance).latency += score;
 }
 
-pub(crate) fn score_trial(pooled: &mut Pooled, cell: &Cell, reference: Option<&Reference>) {
-    debug_assert_eq!(pooled.mode, Mode::Trial);
+pub(crate) fn score_trial(pooled: &mut Pooled, cell: &Cell, own: &Outcomes, normal: &Normal) {
     pooled.trial.succeeded += cell.succeeded;
     pooled.trial.failed += cell.failures();
-    if let Some(reference) = reference {
-        let explained = pooled.shift;
-        let complete = score_complete(&cell.latency, reference, explained);
-        let censored = score_censored(&cell.censored, reference, explained);
-        pooled.trial.latency_score += complete.score + censored.score;
-        pooled.trial.waiting_score = score_censored(&cell.waiting, reference, explained).score;
-    }
-}
-
-fn score_complete(times: &Histogram, reference: &Reference, explained: f64) -> Scored {
-    let mut scored = Scored::default();
-    for entry in &times.0 {
-        let position = f64::from(entry.bucket) + 0.5 - explained;
-        let count = f64::from(entry.count);
-        scored.score += count * reference.ratio(position);
-        scored.requests += count;
-        scored.position_sum += count * (position - reference.mean());
-    }
-    scored
-}
-
-/// A lower bound counts by the ratio of the survival functions, which is never negative.
-fn score_censored(times: &Histogram, reference: &Reference, explained: f64) -> Scored {
-    let mut scored = Scored::default();
-    for entry in &times.0 {
-        let position = f64::from(entry.bucket) + 0.5 - explained;
-        let count = f64::from(entry.count);
-        let ratio = reference.survival_ratio(position);
-        scored.score += count * ratio;
-        if ratio > TELLING_RATIO {
-            scored.requests += count;
-            scored.position_sum += count * (position - reference.mean());
-        }
+    if let Some(slot_ms) = normal.peer_slot_ms(own) {
+        let outcomes = outcomes(cell, pooled.use_factor);
+        pooled.trial.latency_score += latency_ratio(&outcomes, slot_ms, normal.dispersion());
     }
-    scored
 }
--- /dev/null
+++ b/crates/policy/tests/false_alarms.rs
@@ -0,0 +1,80 @@
+//! No ejection without a fault of a server: an hour of load, broken paths, common causes.
+
+mod simulation;
+
+use std::time::Duration;
+
+use simulation::{Config, Fault, Simulation};
+
+const HOUR: Duration = Duration::from_hours(1);
+
+fn assert_quiet_hour(config: Config) {
+    let mut simulation = Simulation::new(config);
+
+    simulation.run_until(HOUR);
+
+    let ejections: Vec<String> = simulation
+        .ejections()
+        .iter()
+        .map(|decision| format!("{:?}: {decision}", decision.at))
+        .collect();
+    assert!(ejections.is_empty(), "{ejections:#?}");
+    println!(
+        "{:?}: {} answered, {} shed or failed, {} advised paths",
+        simulation.config, simulation.answered, simulation.failed, simulation.path_faults
+    );
+}
+
+/// Guards against taking queueing at 90 % load for slowness.
+#[test]
+fn hour_at_90_percent_of_capacity_ejects_nobody() {
+    assert_quiet_hour(Config {
+        load: 0.9,
+        ..Config::default()
+    });
+}
+
+/// Guards against taking overload and shed requests for faults.
+#[test]
+fn hour_at_120_percent_of_capacity_ejects_nobody() {
+    assert_quiet_hour(Config {
+        load: 1.2,
+        ..Config::default()
+    });
+}
+
+/// Guards against a comparison with too few peers.
+#[test]
+fn hour_of_six_servers_ejects_nobody() {
+    for load in [0.9, 1.2] {
+        assert_quiet_hour(Config {
+            servers: 6,
+            load,
+            ..Config::default()
+        });
+    }
+}
+
+/// Guards against ejections when a shared dependency slows down or fails all servers at once.
+#[test]
+fn common_cause_ejects_nobody() {
+    for fault in [Fault::Slow(10.0), Fault::Failing(0.3), Fault::Hung] {
+        let mut simulation = Simulation::new(Config::default());
+        simulation.run_until(Duration::from_secs(20));
+        for server in 0..simulation.config.servers {
+            simulation.set_fault(server, fault);
+        }
+        simulation.run_until(Duration::from_secs(80));
+        assert_eq!(simulation.ejections().len(), 0, "{fault:?}");
+    }
+}
+
+/// Guards against ejecting a server for everybody because one instance does not reach it.
+#[test]
+fn one_way_broken_path_ejects_nobody() {
+    let mut simulation = Simulation::new(Config::default());
+    simulation.run_until(Duration::from_secs(20));
+    simulation.broken_paths = vec![(3, 2)];
+    simulation.run_until(Duration::from_mins(5));
+    assert_eq!(simulation.ejections().len(), 0);
+}
