Require evidence from two zones before a server is ejected

Cause: when the instances of one zone were cut off from a zone of servers, the leader ejected those servers for everybody.

Change: reports carry the zone of the instance. Evidence must remain without the instance and without the zone that contributes most, in proportion to the traffic of the others. Instances that wait while others are answered in normal time are left out. When half of the peers reach half of the threshold, the cause is common.

--- a/crates/policy/src/alarm.rs
+++ b/crates/policy/src/alarm.rs
@@ -1,7 +1,7 @@
 //! Decides when the pooled evidence about a server suffices, and whether it points at the server
 //! or at a path.
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 
 use radishpaddle_model::InstanceId;
 
@@ -15,6 +15,20 @@
 /// Part of the threshold that must remain without the instance that contributes most.
 const INDEPENDENT_PART: f64 = 0.4;
 
+/// The same for the availability zone that contributes most. It is lower because a server with
+/// three slots often has all its requests in flight from one zone.
+const ZONE_PART: f64 = 0.2;
+
+/// Share of the requests of the others up to which less is required of them, since they have
+/// little evidence to give.
+const FULL_SHARE: f64 = 0.5;
+
+/// Least score that is required of the others.
+const LEAST_INDEPENDENT: f64 = 1.0;
+
+/// Part of the threshold that the median of the peers may reach. Above it the cause is common.
+const COMMON_PART: f64 = 0.5;
+
 /// Lowest failure rate for an ejection, and its factor over the peers.
 const LEAST_FAILURE_RATE: f64 = 0.1;
 const LEAST_FAILURE_FACTOR: f64 = 3.0;
@@ -185,7 +199,7 @@
         };
         let common = self.medians.others(pooled.server).max(0.0);
         let total = score(pooled, self.cause) - common;
-        if total < threshold {
+        if total < threshold || common > COMMON_PART * threshold {
             return None;
         }
         let evidence = self.evidence(pooled, total, threshold);
@@ -216,22 +230,55 @@
         if self.single_vantage {
             return Blame::Server;
         }
-        let counted = pooled
+        let counted: Vec<&Reporter> = pooled
             .reporters
             .iter()
-            .filter(|reporter| !cut_off.contains(&reporter.instance));
-        let parts = counted.map(|reporter| contribution(reporter, self.cause));
-        let (sum, highest) = parts.fold((0.0, 0.0_f64), |(sum, highest), part| {
-            (sum + part, highest.max(part))
+            .filter(|reporter| !cut_off.contains(&reporter.instance))
+            .collect();
+        let parts = counted
+            .iter()
+            .map(|reporter| contribution(reporter, self.cause));
+        let is_enough = parts.sum::<f64>() - common >= threshold;
+        let by_instance = self.is_independent(&counted, INDEPENDENT_PART * threshold, |reporter| {
+            reporter.instance
         });
-        let sum = sum - common;
-        if sum >= threshold && sum - highest >= INDEPENDENT_PART * threshold {
+        let by_zone =
+            self.is_independent(&counted, ZONE_PART * threshold, |reporter| reporter.zone);
+        if is_enough && by_instance && by_zone {
             return Blame::Server;
         }
         self.worst_path(pooled, threshold)
             .map_or(Blame::Open, Blame::Path)
     }
 
+    /// Whether enough evidence remains without the group that contributes most. With a single
+    /// group there are no others to ask.
+    fn is_independent(
+        &self,
+        reporters: &[&Reporter],
+        required: f64,
+        group: impl Fn(&Reporter) -> u64,
+    ) -> bool {
+        let mut groups: BTreeMap<u64, (f64, f64)> = BTreeMap::new();
+        for reporter in reporters {
+            let sums = groups.entry(group(reporter)).or_default();
+            sums.0 += contribution(reporter, self.cause);
+            sums.1 += reporter.requests();
+        }
+        let by_score = |left: &&(f64, f64), right: &&(f64, f64)| left.0.total_cmp(&right.0);
+        let Some(worst) = groups.values().max_by(by_score) else {
+            return false;
+        };
+        let score: f64 = groups.values().map(|sums| sums.0).sum::<f64>() - worst.0;
+        let requests: f64 = groups.values().map(|sums| sums.1).sum();
+        let others = (requests - worst.1) / requests.max(1.0);
+        if others <= 0.0 && group(reporters[0]) == 0 {
+            return true;
+        }
+        let needed = required * (others / FULL_SHARE).min(1.0);
+        score >= needed.max(LEAST_INDEPENDENT)
+    }
+
     /// The instance that contributes most, if its evidence alone suffices.
     fn worst_path(&self, pooled: &Pooled, threshold: f64) -> Option<u64> {
         let parts = pooled
--- a/crates/policy/src/detector.rs
+++ b/crates/policy/src/detector.rs
@@ -31,13 +31,13 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use radishpaddle_model::{Incarnation, InstanceId};
+use radishpaddle_model::{AvailabilityZone, Incarnation, InstanceId};
 
 use crate::alarm;
 use crate::evidence::{Cell, DRAIN_PERIOD};
 use crate::explanation::Finding;
-use crate::key::{RequestClass, ServerKey, ServiceKey, instance_key};
-use crate::pool::{Mode, Pooled, Trial};
+use crate::key::{RequestClass, ServerKey, ServiceKey, instance_key, zone_key};
+use crate::pool::{Mode, Origin, Pooled, Trial};
 use crate::rates::{Normal, Outcomes};
 use crate::scoring::{is_suspicious, outcomes, score_failures, score_latency, score_trial};
 
@@ -96,7 +96,7 @@
 
 #[derive(Debug)]
 struct Pending {
-    instance: u64,
+    origin: Origin,
     service: ServiceKey,
     cell: Cell,
 }
@@ -254,8 +254,21 @@
 
     /// Takes the cells of one drain period of an instance. Cells of unknown servers are ignored,
     /// and cells above [`MAX_PENDING`] in one tick are dropped.
-    pub fn report(&mut self, instance: &InstanceId, cells: Vec<Cell>, now: Duration) {
+    ///
+    /// `zone` is the availability zone of the instance; it serves to tell a partition between zones
+    /// from a fault of the server.
+    pub fn report(
+        &mut self,
+        instance: &InstanceId,
+        zone: Option<&AvailabilityZone>,
+        cells: Vec<Cell>,
+        now: Duration,
+    ) {
         let key = instance_key(instance);
+        let origin = Origin {
+            instance: key,
+            zone: zone.map_or(0, zone_key),
+        };
         self.forget_in_flight(key);
         let mut in_flight = Vec::with_capacity(cells.len());
         for cell in cells {
@@ -266,7 +279,7 @@
             in_flight.push((cell.server, cell.in_flight));
             if self.pending.len() < MAX_PENDING {
                 self.pending.push(Pending {
-                    instance: key,
+                    origin,
                     service: pooled.service,
                     cell,
                 });
@@ -410,11 +423,11 @@
             Mode::Rotation | Mode::Ramp => {}
         }
         let peer_rate = normal.peer_failure_rate(own);
-        score_failures(pooled, entry.instance, cell, peer_rate, self.tick);
+        score_failures(pooled, entry.origin, cell, peer_rate, self.tick);
         let slot_ms = normal.peer_slot_ms(own);
         if let Some(slot_ms) = slot_ms.filter(|_| now >= pooled.cold_until) {
             let dispersion = normal.dispersion();
-            score_latency(pooled, entry.instance, cell, slot_ms, dispersion);
+            score_latency(pooled, entry.origin, cell, slot_ms, dispersion);
         }
     }
 
--- a/crates/policy/src/key.rs
+++ b/crates/policy/src/key.rs
@@ -6,7 +6,7 @@
 
 use std::fmt;
 
-use radishpaddle_model::{BackendServerId, InstanceId, ServiceId};
+use radishpaddle_model::{AvailabilityZone, BackendServerId, InstanceId, ServiceId};
 use serde::{Deserialize, Serialize};
 
 /// A backend server of a service, stable over restarts.
@@ -89,6 +89,11 @@
     mix(fnv1a(FNV_OFFSET, instance.as_str().as_bytes()))
 }
 
+/// Key of an availability zone within the tables of one process.
+pub(crate) fn zone_key(zone: &AvailabilityZone) -> u64 {
+    mix(fnv1a(FNV_OFFSET, zone.as_str().as_bytes()))
+}
+
 /// Finalizer of `MurmurHash3`; spreads the weak high bits of FNV-1a.
 pub(crate) fn mix(mut value: u64) -> u64 {
     value ^= value >> 33;
--- a/crates/policy/src/leader.rs
+++ b/crates/policy/src/leader.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use radishpaddle_model::{InstanceId, Percent};
+use radishpaddle_model::{AvailabilityZone, InstanceId, Percent};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
@@ -23,6 +23,9 @@
 /// What an entry instance sends to the leader every 250 ms.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HealthReport {
+    /// Availability zone of the instance. Without it, a partition between zones can be taken for
+    /// faults of the servers.
+    pub zone: Option<AvailabilityZone>,
     /// Evidence of the period.
     pub cells: Vec<Cell>,
     /// List that the instance acts on ([`crate::VerdictView::applied`]).
@@ -109,7 +112,8 @@
         report: HealthReport,
         now: Duration,
     ) -> HealthResponse {
-        self.detector.report(instance, report.cells, now);
+        self.detector
+            .report(instance, report.zone.as_ref(), report.cells, now);
         let update = self
             .controller
             .sync(instance, report.applied, &report.held, now);
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -44,28 +44,41 @@
     }
 }
 
+/// Where a report comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Origin {
+    pub(crate) instance: u64,
+    /// Availability zone; 0 when it is not known.
+    pub(crate) zone: u64,
+}
+
 /// Part of one entry instance in the evidence about a server.
 #[derive(Debug, Clone)]
 pub(crate) struct Reporter {
     pub(crate) instance: u64,
+    pub(crate) zone: u64,
     pub(crate) failure: f64,
     pub(crate) latency: f64,
     requests: f64,
     run: u32,
     run_began: u64,
     last_reached: u64,
+    /// Recent responses, and the use of slots for them in milliseconds.
+    recent: Track,
 }
 
 impl Reporter {
-    fn new(instance: u64) -> Self {
+    fn new(origin: Origin) -> Self {
         Self {
-            instance,
+            instance: origin.instance,
+            zone: origin.zone,
             failure: 0.0,
             latency: 0.0,
             requests: 0.0,
             run: 0,
             run_began: 0,
             last_reached: 0,
+            recent: Track::default(),
         }
     }
 
@@ -84,6 +97,11 @@
         }
     }
 
+    /// Records the use of slots in one tick.
+    pub(crate) fn used(&mut self, responses: f64, busy_ms: f64) {
+        self.recent.add(0.0, responses, busy_ms);
+    }
+
     /// Whether no recent request of this instance reached the server.
     pub(crate) fn is_cut_off(&self) -> bool {
         self.run >= CUT_OFF_RUN
@@ -165,24 +183,25 @@
         }
     }
 
-    pub(crate) fn reporter(&mut self, instance: u64) -> &mut Reporter {
+    pub(crate) fn reporter(&mut self, origin: Origin) -> &mut Reporter {
         let known = self
             .reporters
             .iter()
-            .position(|reporter| reporter.instance == instance);
-        let at = known.unwrap_or_else(|| self.new_reporter(instance));
+            .position(|reporter| reporter.instance == origin.instance);
+        let at = known.unwrap_or_else(|| self.new_reporter(origin));
         &mut self.reporters[at]
     }
 
-    fn new_reporter(&mut self, instance: u64) -> usize {
+    fn new_reporter(&mut self, origin: Origin) -> usize {
         if self.reporters.len() < MAX_REPORTERS {
-            self.reporters.push(Reporter::new(instance));
+            self.reporters.push(Reporter::new(origin));
             return self.reporters.len() - 1;
         }
         let counted = self.reporters.iter().enumerate();
         let least = counted.min_by(|left, right| left.1.requests.total_cmp(&right.1.requests));
         let at = least.map_or(0, |(index, _)| index);
-        self.reporters[at].instance = instance;
+        self.reporters[at].instance = origin.instance;
+        self.reporters[at].zone = origin.zone;
         at
     }
 
@@ -195,6 +214,7 @@
             reporter.failure *= kept;
             reporter.latency *= kept;
             reporter.requests *= kept;
+            reporter.recent.scale(RECENT_KEPT);
         }
     }
 
@@ -268,9 +288,12 @@
     /// time-out.
     pub(crate) fn unanswered_instances(&self, tick: u64) -> Vec<u64> {
         let is_answered = |reporter: &&Reporter| reporter.last_reached + ANSWERED_TICKS >= tick;
-        let answered = self.reporters.iter().filter(is_answered);
-        let score: f64 = answered.map(|reporter| reporter.latency).sum();
-        if score > NORMAL_SCORE {
+        let mut recent = Track::default();
+        for reporter in self.reporters.iter().filter(is_answered) {
+            recent.add(0.0, reporter.recent.requests, reporter.recent.sum);
+        }
+        let is_normal = recent.mean() < NORMAL_SLOWDOWN * self.peer_slot_ms;
+        if recent.requests < LEAST_RESPONSES || !is_normal {
             return Vec::new();
         }
         let unanswered = self.reporters.iter();
@@ -313,8 +336,13 @@
 /// Ticks after a response in which an instance counts as answered.
 const ANSWERED_TICKS: u64 = 2;
 
-/// Latency score at or below which the instances that are answered see a normal server.
-const NORMAL_SCORE: f64 = -2.0;
+/// Responses that the answered instances need, and the slow-down up to which the server is normal
+/// for them.
+const LEAST_RESPONSES: f64 = 2.0;
+const NORMAL_SLOWDOWN: f64 = 2.0;
+
+/// Part of the recent use of slots that remains after a tick.
+const RECENT_KEPT: f64 = 0.6;
 
 /// Ticks after the first failure in which successes of other instances can show that the path is
 /// at fault.
--- a/crates/policy/src/scoring.rs
+++ b/crates/policy/src/scoring.rs
@@ -1,7 +1,7 @@
 //! Adds the outcomes of one cell to the scores of a server.
 
 use crate::evidence::Cell;
-use crate::pool::Pooled;
+use crate::pool::{Origin, Pooled};
 use crate::rates::{Normal, Outcomes, failure_ratio, latency_ratio};
 
 /// Score from which on the requests of a server are not learned as normal.
@@ -24,7 +24,7 @@
 
 pub(crate) fn score_failures(
     pooled: &mut Pooled,
-    instance: u64,
+    origin: Origin,
     cell: &Cell,
     peer_rate: f64,
     tick: u64,
@@ -37,14 +37,14 @@
     let score = failure_ratio(&outcomes, peer_rate);
     pooled.peer_failure_rate = peer_rate;
     pooled.failure.add(score, requests, outcomes.failed);
-    let reporter = pooled.reporter(instance);
+    let reporter = pooled.reporter(origin);
     reporter.failure += score;
     reporter.outcomes(cell.responses(), cell.unreached(), tick);
 }
 
 pub(crate) fn score_latency(
     pooled: &mut Pooled,
-    instance: u64,
+    origin: Origin,
     cell: &Cell,
     slot_ms: f64,
     dispersion: f64,
@@ -59,7 +59,9 @@
         .latency
         .add(score, outcomes.responses, outcomes.busy_ms);
     pooled.given_up += f64::from(cell.timed_out) + f64::from(cell.cancelled);
-    pooled.reporter(instance).latency += score;
+    let reporter = pooled.reporter(origin);
+    reporter.latency += score;
+    reporter.used(outcomes.responses, outcomes.busy_ms);
 }
 
 pub(crate) fn score_trial(pooled: &mut Pooled, cell: &Cell, own: &Outcomes, normal: &Normal) {
--- a/crates/policy/tests/false_alarms.rs
+++ b/crates/policy/tests/false_alarms.rs
@@ -78,3 +78,36 @@
     simulation.run_until(Duration::from_mins(5));
     assert_eq!(simulation.ejections().len(), 0);
 }
+
+/// Guards against taking two broken paths from different zones for two independent witnesses.
+#[test]
+fn two_broken_paths_to_one_server_eject_nobody() {
+    for seed in 1..11 {
+        let mut simulation = Simulation::new(Config {
+            seed,
+            ..Config::default()
+        });
+        simulation.run_until(Duration::from_secs(20));
+        simulation.broken_paths = vec![(3, 2), (7, 2)];
+        simulation.run_until(Duration::from_mins(5));
+        assert_eq!(simulation.ejections().len(), 0, "seed {seed}");
+    }
+}
+
+/// Guards against ejecting the servers of a zone because the instances of another zone are cut
+/// off from them.
+#[test]
+fn partition_between_two_zones_ejects_nobody() {
+    let mut simulation = Simulation::new(Config::default());
+    simulation.run_until(Duration::from_secs(20));
+    let config = &simulation.config;
+    let entries = (0..config.entries).filter(|entry| entry % 3 == 0);
+    let paths = entries.flat_map(|entry| {
+        let servers = (0..config.servers).filter(|server| server % 3 == 1);
+        servers.map(move |server| (entry, server))
+    });
+    let paths = paths.collect();
+    simulation.broken_paths = paths;
+    simulation.run_until(Duration::from_mins(5));
+    assert_eq!(simulation.ejections().len(), 0);
+}
--- a/crates/policy/tests/simulation/mod.rs
+++ b/crates/policy/tests/simulation/mod.rs
@@ -390,6 +390,7 @@
         self.at(self.now + PERIOD, Event::Drain(index));
         let (now, entry) = (self.now, &mut self.entries[index]);
         let report = HealthReport {
+            zone: Some(zone(index)),
             cells: entry.recorder.drain(now),
             applied: entry.verdicts.applied(now),
             held: entry.verdicts.held(now),
