Identify crashes, so that one crash charges a request once

Cause: the mark of an entry instance and its report to the leader counted the same crash twice, and so did two copies on one server; an innocent request that was in flight at one crash could be quarantined.

Change: a crash is named by server and incarnation, and the first one is kept with the entry. Two different first crashes reported to a new leader count as two.

--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -12,7 +12,7 @@
 use radishpaddle_model::InstanceId;
 use serde::{Deserialize, Serialize};
 
-use crate::quarantine::{Fingerprint, PoisonState, QuarantineEntry, whole_ms};
+use crate::quarantine::{CrashId, Fingerprint, PoisonState, QuarantineEntry, whole_ms};
 
 /// Time for which a suspect is remembered after its last crash.
 pub const SUSPECT_LIFE: Duration = Duration::from_mins(10);
@@ -70,7 +70,10 @@
     /// The request reached no backend server.
     NotRun,
     /// The backend server crashed.
-    Crashed,
+    Crashed {
+        /// The crash.
+        crash: CrashId,
+    },
     /// Neither an answer nor a crash, for example a time-out; it remains suspect.
     Unknown,
 }
@@ -86,6 +89,7 @@
 struct Entry {
     state: PoisonState,
     crashes: u32,
+    first_crash: Option<CrashId>,
     expires_at: Duration,
     no_ticket_before: Duration,
     ticket: Option<Ticket>,
@@ -122,8 +126,7 @@
             let no_ticket_before = self.started_at + TICKET_LIFE;
             let known = self.entry(entry.fingerprint, no_ticket_before, now);
             let before = (known.state, known.crashes);
-            known.state = known.state.max(entry.state);
-            known.crashes = known.crashes.max(entry.crashes);
+            known.merge(entry);
             known.expires_at = known.expires_at.max(expires_at);
             if before != (known.state, known.crashes) {
                 self.generation += 1;
@@ -131,10 +134,18 @@
         }
     }
 
-    /// Records a crash with the request in flight, without a ticket. Returns the new state.
-    pub fn crashed(&mut self, fingerprint: Fingerprint, now: Duration) -> PoisonState {
+    /// Records a crash with the request in flight. Returns the new state. A crash that is known is
+    /// not counted again: a server may have had several copies in flight.
+    pub fn crashed(
+        &mut self,
+        fingerprint: Fingerprint,
+        crash: CrashId,
+        now: Duration,
+    ) -> PoisonState {
         let entry = self.entry(fingerprint, now, now);
-        entry.charge(now);
+        if entry.first_crash != Some(crash) {
+            entry.charge(Some(crash), now);
+        }
         let state = entry.state;
         self.generation += 1;
         state
@@ -182,8 +193,8 @@
         now: Duration,
     ) -> Option<PoisonState> {
         self.settle(now);
-        if outcome == TicketOutcome::Crashed {
-            return Some(self.crashed(fingerprint, now));
+        if let TicketOutcome::Crashed { crash } = outcome {
+            return Some(self.crashed(fingerprint, crash, now));
         }
         let entry = self.entries.get_mut(&fingerprint)?;
         if entry.ticket.as_ref().map(|out| out.id) == Some(ticket) {
@@ -230,6 +241,7 @@
                 fingerprint: *fingerprint,
                 state: entry.state,
                 crashes: entry.crashes,
+                first_crash: entry.first_crash,
                 remaining_ms: whole_ms(entry.expires_at.saturating_sub(now)),
             })
             .collect()
@@ -242,7 +254,7 @@
         for entry in self.entries.values_mut() {
             let expired = |ticket: &Ticket| ticket.expires_at <= now;
             if entry.ticket.as_ref().is_some_and(expired) {
-                entry.charge(now);
+                entry.charge(None, now);
                 charged += 1;
             }
         }
@@ -265,6 +277,7 @@
         self.entries.entry(fingerprint).or_insert(Entry {
             state: PoisonState::Suspect,
             crashes: 0,
+            first_crash: None,
             expires_at: now,
             no_ticket_before,
             ticket: None,
@@ -290,8 +303,22 @@
 }
 
 impl Entry {
-    fn charge(&mut self, now: Duration) {
+    /// Takes over what another instance knows. Two different first crashes are two crashes.
+    fn merge(&mut self, other: &QuarantineEntry) {
+        let is_new = self.crashes == 0;
+        let differ = self.first_crash != other.first_crash && !is_new;
+        self.state = self.state.max(other.state);
+        self.crashes = self.crashes.max(other.crashes);
+        if differ && other.crashes > 0 {
+            self.crashes = self.crashes.max(2);
+            self.state = PoisonState::Quarantined;
+        }
+        self.first_crash = self.first_crash.or(other.first_crash);
+    }
+
+    fn charge(&mut self, crash: Option<CrashId>, now: Duration) {
         self.crashes = self.crashes.saturating_add(1);
+        self.first_crash = self.first_crash.or(crash);
         self.ticket = None;
         if self.crashes >= 2 {
             self.state = PoisonState::Quarantined;
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -57,6 +57,16 @@
     }
 }
 
+/// One crash of a backend server. Several requests in flight and several instances report the same
+/// one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct CrashId {
+    /// The backend server.
+    pub server: ServerKey,
+    /// Incarnation that crashed.
+    pub incarnation: Incarnation,
+}
+
 /// What is known about a fingerprint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum PoisonState {
@@ -75,6 +85,8 @@
     pub state: PoisonState,
     /// Crashes that were attributed to it.
     pub crashes: u32,
+    /// The first of them, `None` when it is a ticket without result.
+    pub first_crash: Option<CrashId>,
     /// Time until the entry expires, in milliseconds.
     pub remaining_ms: u64,
 }
@@ -97,6 +109,7 @@
 struct Known {
     state: PoisonState,
     crashes: u32,
+    first_crash: Option<CrashId>,
     expires_at: Duration,
     marked_here_until: Duration,
 }
@@ -137,11 +150,12 @@
 
     /// Marks a fingerprint as suspect at the first sign of a crash, before the leader has
     /// answered.
-    pub fn suspect(&mut self, fingerprint: Fingerprint, now: Duration) {
+    pub fn suspect(&mut self, fingerprint: Fingerprint, crash: CrashId, now: Duration) {
         self.make_room(now);
         self.known.entry(fingerprint).or_insert(Known {
             state: PoisonState::Suspect,
             crashes: 1,
+            first_crash: Some(crash),
             expires_at: now + SUSPECT_LIFE,
             marked_here_until: now + LOCAL_MARK_LIFE,
         });
@@ -156,6 +170,7 @@
             let known = Known {
                 state: entry.state,
                 crashes: entry.crashes,
+                first_crash: entry.first_crash,
                 expires_at: now + Duration::from_millis(entry.remaining_ms),
                 marked_here_until: Duration::ZERO,
             };
@@ -175,6 +190,7 @@
                 fingerprint: *fingerprint,
                 state: known.state,
                 crashes: known.crashes,
+                first_crash: known.first_crash,
                 remaining_ms: whole_ms(known.expires_at.saturating_sub(now)),
             })
             .collect()
@@ -201,10 +217,8 @@
 /// A crash of a backend server with the requests that it had in flight at this instance.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Crash {
-    /// The backend server.
-    pub server: ServerKey,
-    /// Incarnation that crashed.
-    pub incarnation: Incarnation,
+    /// The crash.
+    pub id: CrashId,
     /// Requests lost, each with the ticket under which it ran.
     pub requests: Vec<(Fingerprint, Option<TicketId>)>,
 }
@@ -274,17 +288,16 @@
     fn confirm(&mut self, now: Duration, crashed: impl Fn(&Lost) -> bool) -> Option<Crash> {
         self.expire(now);
         let first = self.lost.iter().find(|lost| crashed(lost))?;
-        let (server, incarnation) = (first.server, first.incarnation);
+        let id = CrashId {
+            server: first.server,
+            incarnation: first.incarnation,
+        };
         let requests = self.lost.iter().filter(|lost| crashed(lost));
         let requests = requests
             .map(|lost| (lost.fingerprint, lost.ticket))
             .collect();
         self.lost.retain(|lost| !crashed(lost));
-        Some(Crash {
-            server,
-            incarnation,
-            requests,
-        })
+        Some(Crash { id, requests })
     }
 
     fn expire(&mut self, now: Duration) {
