Return the less severe server at the floor before ejecting a worse one

A server that was removed with cells pending made the tick panic. A server returned in favour of a worse one was ejected again at once (8 ejections in 8 ticks), so the worse one never left. Findings were taken in an arbitrary order at the floor.

Change: removal drops pending cells; a server whose return is not applied everywhere is not ejected; the most severe finding is decided first.

--- a/crates/policy/src/detector.rs
+++ b/crates/policy/src/detector.rs
@@ -171,6 +171,7 @@
         if let Some(members) = self.services.get_mut(&pooled.service) {
             members.retain(|member| *member != server);
         }
+        self.pending.retain(|entry| entry.cell.server != server);
     }
 
     /// Forgets the evidence about a server, for example because its crash was charged to a
--- a/crates/policy/src/ejection.rs
+++ b/crates/policy/src/ejection.rs
@@ -232,14 +232,15 @@
         let Some(record) = self.servers.get_mut(&server) else {
             return;
         };
-        if record.is_out() || record.info.draining || self.adopting_until.is_some() {
+        // A server whose return is not applied everywhere made way for a worse one or just passed
+        // its trial; ejecting it again at once would undo that.
+        let is_settled = !record.may_be_out() && !record.info.draining;
+        if !is_settled || self.adopting_until.is_some() {
             return;
         }
         record.evidence = Some(evidence.clone());
         let (service, slots) = (record.info.service, record.info.slots);
-        // A server whose return is not applied everywhere is counted as out already.
-        let leaving = if record.may_be_out() { 0 } else { slots };
-        if self.capacity(service).permits_ejection(leaving) {
+        if self.capacity(service).permits_ejection(slots) {
             self.eject(server, now);
         } else {
             self.keep_at_floor(server, now);
--- a/crates/policy/src/leader.rs
+++ b/crates/policy/src/leader.rs
@@ -129,11 +129,10 @@
     /// Pools the reports since the last tick and decides. Call every 250 ms.
     pub fn tick(&mut self, now: Duration, rng: &mut impl Rng) -> Vec<Decision> {
         self.controller.settle(now);
+        let mut accused = Vec::new();
         for finding in self.detector.tick(now) {
             match finding {
-                Finding::Server { server, evidence } => {
-                    self.controller.accuse(server, &evidence, now);
-                }
+                Finding::Server { server, evidence } => accused.push((server, evidence)),
                 Finding::Path {
                     server,
                     instance,
@@ -146,6 +145,11 @@
                 }),
             }
         }
+        // The worst server comes first, since the floor may permit only one ejection.
+        accused.sort_by(|left, right| right.1.severity().total_cmp(&left.1.severity()));
+        for (server, evidence) in accused {
+            self.controller.accuse(server, &evidence, now);
+        }
         for server in self.controller.awaiting_trial(now) {
             let state = self.trial_state(server, rng);
             self.controller.step_trial(server, state, now);
