--- a/crates/policy/src/alarm.rs
+++ b/crates/policy/src/alarm.rs
@@ -1,13 +1,12 @@
 //! Decides when the pooled evidence about a server suffices, and whether it points at the server
 //! or at a path.
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 
 use radishpaddle_model::InstanceId;
 
 use crate::explanation::{Cause, Evidence, Finding};
 use crate::key::ServerKey;
-use crate::latency::{BUCKETS_PER_DOUBLING, bucket_ms};
 use crate::pool::{Connectivity, Mode, Pooled, Reporter};
 
 /// Threshold for a server that returns. It was ejected before, so less evidence suffices.
@@ -16,12 +15,26 @@
 /// Part of the threshold that must remain without the instance that contributes most.
 const INDEPENDENT_PART: f64 = 0.4;
 
+/// The same for the availability zone that contributes most. It is lower because a server with
+/// three slots often has all its requests in flight from one zone.
+const ZONE_PART: f64 = 0.2;
+
+/// Share of the requests of the others up to which less is required of them, since they have
+/// little evidence to give.
+const FULL_SHARE: f64 = 0.5;
+
+/// Least score that is required of the others.
+const LEAST_INDEPENDENT: f64 = 1.0;
+
+/// Part of the threshold that the median of the peers may reach. Above it the cause is common.
+const COMMON_PART: f64 = 0.5;
+
 /// Lowest failure rate for an ejection, and its factor over the peers.
 const LEAST_FAILURE_RATE: f64 = 0.1;
 const LEAST_FAILURE_FACTOR: f64 = 3.0;
 
-/// Lowest slow-down for an ejection: factor two, in buckets.
-const LEAST_SLOWDOWN: f64 = BUCKETS_PER_DOUBLING;
+/// Lowest slow-down for an ejection, as a factor of the slot time.
+const LEAST_SLOWDOWN: f64 = 2.0;
 
 /// Lowest slow-down in milliseconds, above the differences between availability zones.
 const LEAST_SLOWDOWN_MS: f64 = 10.0;
@@ -57,13 +70,6 @@
         };
         f64::midpoint(at((count - 1) / 2), at(count / 2))
     }
-
-    /// Median of the values of the others, drawn towards 0 when they are few.
-    pub(crate) fn shrunk(&self, server: ServerKey) -> f64 {
-        let count = u32::try_from(self.values.len()).unwrap_or(u32::MAX);
-        let count = f64::from(count);
-        self.others(server) * count / (count + 1.0)
-    }
 }
 
 /// A test that was passed.
@@ -151,7 +157,7 @@
 fn contribution(reporter: &Reporter, cause: Cause) -> f64 {
     match cause {
         Cause::Failures => reporter.failure,
-        Cause::Latency => reporter.total_latency(),
+        Cause::Latency => reporter.latency,
     }
 }
 
@@ -193,18 +199,21 @@
         };
         let common = self.medians.others(pooled.server).max(0.0);
         let total = score(pooled, self.cause) - common;
-        if total < threshold {
+        if total < threshold || common > COMMON_PART * threshold {
             return None;
         }
         let evidence = self.evidence(pooled, total, threshold);
         if !has_effect(&evidence) {
             return None;
         }
-        let cut_off = match pooled.connectivity(self.tick) {
+        let mut cut_off = match pooled.connectivity(self.tick) {
             Connectivity::Undecided if !self.single_vantage => return None,
             Connectivity::Partial(instances) => instances,
             _ => Vec::new(),
         };
+        if self.cause == Cause::Latency {
+            cut_off.extend(pooled.unanswered_instances(self.tick));
+        }
         let instance = match self.blame(pooled, &cut_off, common, threshold) {
             Blame::Server => None,
             Blame::Path(instance) => Some(instance),
@@ -221,22 +230,55 @@
         if self.single_vantage {
             return Blame::Server;
         }
-        let counted = pooled
+        let counted: Vec<&Reporter> = pooled
             .reporters
             .iter()
-            .filter(|reporter| !cut_off.contains(&reporter.instance));
-        let parts = counted.map(|reporter| contribution(reporter, self.cause));
-        let (sum, highest) = parts.fold((0.0, 0.0_f64), |(sum, highest), part| {
-            (sum + part, highest.max(part))
+            .filter(|reporter| !cut_off.contains(&reporter.instance))
+            .collect();
+        let parts = counted
+            .iter()
+            .map(|reporter| contribution(reporter, self.cause));
+        let is_enough = parts.sum::<f64>() - common >= threshold;
+        let by_instance = self.is_independent(&counted, INDEPENDENT_PART * threshold, |reporter| {
+            reporter.instance
         });
-        let sum = sum - common;
-        if sum >= threshold && sum - highest >= INDEPENDENT_PART * threshold {
+        let by_zone =
+            self.is_independent(&counted, ZONE_PART * threshold, |reporter| reporter.zone);
+        if is_enough && by_instance && by_zone {
             return Blame::Server;
         }
         self.worst_path(pooled, threshold)
             .map_or(Blame::Open, Blame::Path)
     }
 
+    /// Whether enough evidence remains without the group that contributes most. With a single
+    /// group there are no others to ask.
+    fn is_independent(
+        &self,
+        reporters: &[&Reporter],
+        required: f64,
+        group: impl Fn(&Reporter) -> u64,
+    ) -> bool {
+        let mut groups: BTreeMap<u64, (f64, f64)> = BTreeMap::new();
+        for reporter in reporters {
+            let sums = groups.entry(group(reporter)).or_default();
+            sums.0 += contribution(reporter, self.cause);
+            sums.1 += reporter.requests();
+        }
+        let by_score = |left: &&(f64, f64), right: &&(f64, f64)| left.0.total_cmp(&right.0);
+        let Some(worst) = groups.values().max_by(by_score) else {
+            return false;
+        };
+        let score: f64 = groups.values().map(|sums| sums.0).sum::<f64>() - worst.0;
+        let requests: f64 = groups.values().map(|sums| sums.1).sum();
+        let others = (requests - worst.1) / requests.max(1.0);
+        if others <= 0.0 && group(reporters[0]) == 0 {
+            return true;
+        }
+        let needed = required * (others / FULL_SHARE).min(1.0);
+        score >= needed.max(LEAST_INDEPENDENT)
+    }
+
     /// The instance that contributes most, if its evidence alone suffices.
     fn worst_path(&self, pooled: &Pooled, threshold: f64) -> Option<u64> {
         let parts = pooled
@@ -248,23 +290,21 @@
     }
 
     fn evidence(&self, pooled: &Pooled, score: f64, threshold: f64) -> Evidence {
-        let latency = pooled.latency_with_waiting();
         let requests = match self.cause {
             Cause::Failures => pooled.failure.requests,
-            Cause::Latency => latency.requests,
+            Cause::Latency => pooled.latency.requests,
         };
         let reporters = pooled
             .reporters
             .iter()
             .filter(|reporter| contribution(reporter, self.cause) > 0.0);
-        let deviation = latency.mean();
         Evidence {
             cause: self.cause,
             requests,
             failure_rate: pooled.failure.mean(),
             peer_failure_rate: pooled.peer_failure_rate,
-            typical_ms: bucket_ms(pooled.peer_position + deviation - 0.5),
-            peer_typical_ms: bucket_ms(pooled.peer_position - 0.5),
+            slot_ms: pooled.latency.mean(),
+            peer_slot_ms: pooled.peer_slot_ms,
             score,
             threshold,
             reporters: u32::try_from(reporters.count()).unwrap_or(u32::MAX),
@@ -282,9 +322,9 @@
             evidence.failure_rate >= LEAST_FAILURE_RATE.max(least.min(0.9))
         }
         Cause::Latency => {
-            let least = evidence.peer_typical_ms * (LEAST_SLOWDOWN / BUCKETS_PER_DOUBLING).exp2();
-            let excess = evidence.typical_ms - evidence.peer_typical_ms;
-            evidence.typical_ms >= least && excess >= LEAST_SLOWDOWN_MS
+            let least = evidence.peer_slot_ms * LEAST_SLOWDOWN;
+            let excess = evidence.slot_ms - evidence.peer_slot_ms;
+            evidence.slot_ms >= least && excess >= LEAST_SLOWDOWN_MS
         }
     }
 }
--- a/crates/policy/src/leader.rs
+++ b/crates/policy/src/leader.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use radishpaddle_model::{InstanceId, Percent};
+use radishpaddle_model::{AvailabilityZone, InstanceId, Percent};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
@@ -23,6 +23,9 @@
 /// What an entry instance sends to the leader every 250 ms.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HealthReport {
+    /// Availability zone of the instance. Without it, a partition between zones can be taken for
+    /// faults of the servers.
+    pub zone: Option<AvailabilityZone>,
     /// Evidence of the period.
     pub cells: Vec<Cell>,
     /// List that the instance acts on ([`crate::VerdictView::applied`]).
@@ -109,7 +112,8 @@
         report: HealthReport,
         now: Duration,
     ) -> HealthResponse {
-        self.detector.report(instance, report.cells, now);
+        self.detector
+            .report(instance, report.zone.as_ref(), report.cells, now);
         let update = self
             .controller
             .sync(instance, report.applied, &report.held, now);
@@ -125,11 +129,10 @@
     /// Pools the reports since the last tick and decides. Call every 250 ms.
     pub fn tick(&mut self, now: Duration, rng: &mut impl Rng) -> Vec<Decision> {
         self.controller.settle(now);
+        let mut accused = Vec::new();
         for finding in self.detector.tick(now) {
             match finding {
-                Finding::Server { server, evidence } => {
-                    self.controller.accuse(server, &evidence, now);
-                }
+                Finding::Server { server, evidence } => accused.push((server, evidence)),
                 Finding::Path {
                     server,
                     instance,
@@ -142,6 +145,11 @@
                 }),
             }
         }
+        // The worst server comes first, since the floor may permit only one ejection.
+        accused.sort_by(|left, right| right.1.severity().total_cmp(&left.1.severity()));
+        for (server, evidence) in accused {
+            self.controller.accuse(server, &evidence, now);
+        }
         for server in self.controller.awaiting_trial(now) {
             let state = self.trial_state(server, rng);
             self.controller.step_trial(server, state, now);
