Drive the rate allocations in the emulator

Cause: a central bucket without delay stood in for the allocations, so refusals and over-admission said nothing about them.

Change: every instance has a Holder, the leader has the Pool, and their messages take the latency of the paths. Requests wait for tokens within their deadline. A new leader settles early when every life that may hold an allocation has registered, and knows its predecessor.

--- a/crates/bench/src/dispatch.rs
+++ b/crates/bench/src/dispatch.rs
@@ -12,7 +12,6 @@
 use crate::ejection::Choice;
 use crate::emulator::{Emulator, Event};
 use crate::fault::Node;
-use crate::rate::RateDecision;
 use crate::request::{Attempt, CallerResult, Kind, Phase};
 use crate::user::CALLER_LATENCY;
 
@@ -22,7 +21,7 @@
 impl Emulator {
     pub(crate) fn on_entry(&mut self, id: u64, sending: u32) {
         let request = &self.requests[&id];
-        let (instance, kind) = (request.instance, request.kind);
+        let instance = request.instance;
         debug_assert_eq!(request.sendings, sending);
         if !self.entries[instance].up {
             let result = CallerResult::ConnectionLost;
@@ -38,30 +37,7 @@
             self.answer(id, CallerResult::Code(ResultCode::NotFresh));
             return;
         }
-        if !self.take_rate(id) {
-            return;
-        }
-        if kind == Kind::Action && self.policy.claims_actions() {
-            self.start_claim(id);
-        } else {
-            self.enqueue(id);
-        }
-    }
-
-    fn take_rate(&mut self, id: u64) -> bool {
-        let request = &self.requests[&id];
-        let (service, organisation) = (request.service, request.organisation);
-        let instance = request.instance;
-        match self.rates.admit(instance, service, organisation, self.now) {
-            RateDecision::Admit => {
-                self.measure.admitted(service, organisation, self.now);
-                true
-            }
-            RateDecision::Refuse => {
-                self.answer(id, CallerResult::Code(ResultCode::RateExceeded));
-                false
-            }
-        }
+        self.ask_rate(id);
     }
 
     /// Puts a request into the fair queue of its instance.
--- a/crates/bench/src/emulator.rs
+++ b/crates/bench/src/emulator.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use radishpaddle_policy::Completion;
+use radishpaddle_quorum::Life;
+use radishpaddle_quorum::allocation::{AllocationReply, AllocationRequest};
 use radishpaddle_quorum::claim::{AbandonRequest, ClaimRegister, ClaimReply, CompleteRequest};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -19,7 +21,7 @@
 use crate::measure::Measure;
 use crate::number::{exponential_gap, mixed};
 use crate::policy::Policy;
-use crate::rate::Rates;
+use crate::rate::{Rates, WaitingRequest};
 use crate::request::{Attempt, CallerResult, Kind, Phase, Request};
 use crate::schedule::Schedule;
 use crate::user::{ACTION_PART, CALLER_LATENCY, Fleet, REQUEST_TIMEOUT, User};
@@ -102,6 +104,20 @@
     SyncAtLeader { message: Box<SyncRequest> },
     /// The answer of the leader reaches the entry instance.
     SyncResponse { message: Box<SyncResponse> },
+    /// A holder looks for due reports.
+    HolderTick { instance: usize },
+    /// A request that waits for a token asks again.
+    AskAgain { waiting: WaitingRequest },
+    /// Reports of a holder reach the leader.
+    AllocationAtLeader {
+        instance: usize,
+        message: Box<AllocationRequest>,
+    },
+    /// The answer of the pool reaches the holder.
+    AllocationReply {
+        instance: usize,
+        message: Box<AllocationReply>,
+    },
     /// The leader decides, or another one is elected.
     LeaderTick,
     /// A crashed server has started again.
@@ -132,6 +148,7 @@
     pub(crate) rates: Rates,
     pub(crate) leadership: Leadership,
     pub(crate) server_incarnations: Vec<u64>,
+    pub(crate) lost_lives: Vec<(Life, Duration)>,
     pub(crate) measure: Measure,
     pub(crate) next_claim: u64,
     pub(crate) next_attempt: u64,
@@ -166,6 +183,7 @@
             rates: Rates::new(policy, &fleet),
             leadership: Leadership::new(&fleet),
             server_incarnations: vec![1; fleet.server_count()],
+            lost_lives: Vec::new(),
             measure: Measure::new(&fleet, &plan, length),
             rng: SmallRng::seed_from_u64(mixed(&[seed, 2])),
             arrivals: SmallRng::seed_from_u64(mixed(&[seed, 1])),
@@ -211,6 +229,7 @@
             self.add_after(POLL_PERIOD / 2 + offset, Event::Poll { instance });
             self.add_after(offset, Event::HealthCheck { instance });
             self.add_after(offset, Event::Sync { instance });
+            self.add_after(offset / 8, Event::HolderTick { instance });
         }
         self.add_after(SAMPLE_PERIOD, Event::Sample);
         self.add_after(LEADER_OFFSET, Event::LeaderTick);
@@ -282,6 +301,14 @@
             Event::Sync { instance } => self.on_sync(instance),
             Event::SyncAtLeader { message } => self.on_sync_at_leader(*message),
             Event::SyncResponse { message } => self.on_sync_response(*message),
+            Event::HolderTick { instance } => self.on_holder_tick(instance),
+            Event::AskAgain { waiting } => self.on_ask_again(waiting),
+            Event::AllocationAtLeader { instance, message } => {
+                self.on_allocation_at_leader(instance, &message);
+            }
+            Event::AllocationReply { instance, message } => {
+                self.on_allocation_reply(instance, &message);
+            }
             Event::LeaderTick => self.on_leader_tick(),
             Event::ServerRestart { server } => self.on_server_restart(server),
             Event::Sample => self.on_sample(),
@@ -446,9 +473,15 @@
     fn on_instance_change(&mut self, up: bool) {
         if up {
             self.entries[0] = Entry::new(self.policy, &self.fleet, 0, 2, self.now);
+            let life = self.life(0);
+            if let Some(rates) = self.rates.allocations() {
+                rates.restart(0, life);
+            }
             self.recover_register(0);
             return;
         }
+        let life = self.life(0);
+        self.lost_lives.push((life, self.now));
         self.entries[0].up = false;
         let mut lost: Vec<u64> = self
             .requests
--- a/crates/bench/src/leader.rs
+++ b/crates/bench/src/leader.rs
@@ -8,7 +8,9 @@
 use radishpaddle_model::Incarnation;
 use radishpaddle_policy::evidence::DRAIN_PERIOD;
 use radishpaddle_policy::{HealthLeader, HealthReport, HealthResponse, ServerInfo, ServiceKey};
-use radishpaddle_quorum::lease::LEASE;
+use radishpaddle_quorum::allocation::{AllocationSettings, Limit, LimitKey, Pool, RECORD_LIFETIME};
+use radishpaddle_quorum::lease::{LEASE, Leadership as Lease};
+use radishpaddle_quorum::{Epoch, Life};
 
 use crate::claims::WITNESSES;
 use crate::ejection::{Router, floor, server_keys};
@@ -29,6 +31,8 @@
     epoch: u64,
     /// Time of the last majority, or of the end of the last lease.
     since: Duration,
+    /// Last leader, if it held next to nothing of the rates.
+    predecessor: Option<Life>,
 }
 
 /// The present leader.
@@ -36,10 +40,14 @@
 pub struct Leader {
     /// Entry instance that leads.
     pub instance: usize,
+    /// Its life.
+    pub life: Life,
     /// Epoch of the lease.
     pub epoch: u64,
     /// Detection and ejection.
     pub health: HealthLeader,
+    /// Rates of the organisations.
+    pub pool: Pool,
 }
 
 /// What an entry instance sends to the leader.
@@ -75,22 +83,48 @@
     #[must_use]
     pub fn new(fleet: &Fleet) -> Self {
         Self {
-            leader: Some(Leader::new(fleet, 0, 1, &[], Duration::ZERO)),
+            leader: Some(Leader::new(
+                fleet,
+                term(fleet, 0, 1, 1),
+                &[],
+                None,
+                Duration::ZERO,
+            )),
             epoch: 1,
             since: Duration::ZERO,
+            predecessor: None,
         }
     }
 }
 
+/// Instance, life and epoch of a leader.
+struct Term {
+    instance: usize,
+    life: Life,
+    epoch: u64,
+}
+
+fn term(fleet: &Fleet, instance: usize, incarnation: u64, epoch: u64) -> Term {
+    let life = Life {
+        instance: fleet.instances[instance].clone(),
+        incarnation: Incarnation(incarnation),
+    };
+    Term {
+        instance,
+        life,
+        epoch,
+    }
+}
+
 impl Leader {
     fn new(
         fleet: &Fleet,
-        instance: usize,
-        epoch: u64,
+        term: Term,
         incarnations: &[u64],
+        predecessor: Option<Life>,
         now: Duration,
     ) -> Self {
-        let mut health = HealthLeader::new(epoch, now);
+        let mut health = HealthLeader::new(term.epoch, now);
         health.set_instances(&fleet.instances);
         for service in &fleet.services {
             health.put_service(ServiceKey::new(&service.id), floor());
@@ -100,10 +134,43 @@
             let info = server_info(fleet, server, incarnation, Duration::ZERO);
             health.put_server(info, now);
         }
+        let lease = lease(term.epoch, now);
+        let settings = AllocationSettings::default();
+        let mut pool = Pool::new(term.life.clone(), &lease, predecessor, settings, now);
+        set_limits(&mut pool, fleet, now);
         Self {
-            instance,
-            epoch,
+            instance: term.instance,
+            life: term.life,
+            epoch: term.epoch,
             health,
+            pool,
+        }
+    }
+
+    /// Lease of the leader, as the real lease would show it.
+    #[must_use]
+    pub fn lease(&self, now: Duration) -> Lease {
+        lease(self.epoch, now)
+    }
+}
+
+fn lease(epoch: u64, now: Duration) -> Lease {
+    Lease {
+        epoch: Epoch(epoch),
+        since_epoch: Epoch(epoch),
+        until: now + LEASE,
+    }
+}
+
+fn set_limits(pool: &mut Pool, fleet: &Fleet, now: Duration) {
+    for service in &fleet.services {
+        for limit in &service.limits {
+            let key = LimitKey {
+                service: service.id.clone(),
+                organisation: limit.organisation.clone(),
+            };
+            let limit = Limit::new(limit.rate_per_s, limit.burst);
+            pool.set_limit(now, &key, Some(limit));
         }
     }
 }
@@ -186,6 +253,20 @@
         let now = self.now;
         if let Some(leader) = &mut self.leadership.leader {
             leader.health.tick(now, &mut self.rng);
+            leader.pool.tick(now);
+        }
+        self.settle_pool();
+    }
+
+    /// Settles the pool once every life that may hold an allocation has registered.
+    fn settle_pool(&mut self) {
+        let now = self.now;
+        let mut lives = self.lives();
+        let lost = self.lost_lives.iter();
+        let recent = lost.filter(|(_, at)| now < *at + RECORD_LIFETIME);
+        lives.extend(recent.map(|(life, _)| life.clone()));
+        if let Some(leader) = &mut self.leadership.leader {
+            leader.pool.settle_early(now, &lives);
         }
     }
 
@@ -198,6 +279,8 @@
         if self.has_majority(leader.instance) {
             self.leadership.since = now;
         } else if now >= self.leadership.since + LEASE {
+            let ready = leader.pool.is_ready();
+            self.leadership.predecessor = ready.then(|| leader.life.clone());
             self.leadership.leader = None;
             self.leadership.since = now;
         }
@@ -211,14 +294,11 @@
         let Some(instance) = candidate else { return };
         self.leadership.epoch += 1;
         self.leadership.since = self.now;
-        let epoch = self.leadership.epoch;
-        let leader = Leader::new(
-            &self.fleet,
-            instance,
-            epoch,
-            &self.server_incarnations,
-            self.now,
-        );
+        let incarnation = self.entries[instance].incarnation.0;
+        let term = term(&self.fleet, instance, incarnation, self.leadership.epoch);
+        let predecessor = self.leadership.predecessor.take();
+        let servers = &self.server_incarnations;
+        let leader = Leader::new(&self.fleet, term, servers, predecessor, self.now);
         self.leadership.leader = Some(leader);
     }
 
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! There are no sockets, threads or real clocks. The same settings and seed give the same output.
 
+pub mod admission;
 pub mod backend_server;
 pub mod caller;
 pub mod claims;
