Measure detection by the traffic of the instances

Cause: in one-way-loss a server counted as avoided only when nine in ten instances of the zone sent it nothing. Instances without traffic never see the loss, so the figure was "none" in every run.

Change: instances count by the attempts that they have dispatched.

--- a/crates/bench/src/dispatch.rs
+++ b/crates/bench/src/dispatch.rs
@@ -163,6 +163,7 @@
         let entry = &mut self.entries[instance];
         let dispatch = entry.router.dispatched(service, choice, kind, now);
         entry.services[service].in_flight += 1;
+        entry.dispatched += 1;
         let number = self.next_attempt;
         self.next_attempt += 1;
         let request = self.request_mut(id);
--- a/crates/bench/src/entry.rs
+++ b/crates/bench/src/entry.rs
@@ -29,6 +29,8 @@
     pub incarnation: Incarnation,
     /// Choice and ejection of backend servers.
     pub router: Router,
+    /// Attempts that it has dispatched.
+    pub dispatched: u64,
     /// Freshness of the configuration.
     pub freshness: Freshness,
     /// State by service.
@@ -69,6 +71,7 @@
             up: true,
             incarnation: Incarnation(incarnation),
             router: Router::new(policy, fleet, instance),
+            dispatched: 0,
             freshness,
             services: services
                 .map(|service| EntryService::new(service, fleet, now))
--- a/crates/bench/src/measure.rs
+++ b/crates/bench/src/measure.rs
@@ -14,7 +14,8 @@
 use crate::user::Fleet;
 use crate::window::{TokenBucket, WindowCheck};
 
-/// Part of the instances that must send a faulty server nothing for it to count as out of rotation.
+/// A faulty server counts as out of rotation when the instances that send it nothing carry this part
+/// of the traffic. Instances without traffic neither see a broken path nor suffer from it.
 pub const DETECTED_PART: f64 = 0.9;
 
 /// Part of the run at its start that is not measured, as a divisor of its length.
@@ -156,11 +157,14 @@
                 .iter()
                 .enumerate()
                 .filter(|(instance, entry)| entry.up && concerned(*instance));
-            let unused: Vec<bool> = up
-                .map(|(_, entry)| entry.router.is_unused(*server, now))
-                .collect();
-            let count = unused.iter().filter(|unused| **unused).count();
-            let detected = float_len(count) >= float_len(unused.len()) * DETECTED_PART;
+            let (mut all, mut unused) = (0, 0);
+            for (_, entry) in up {
+                all += entry.dispatched;
+                if entry.router.is_unused(*server, now) {
+                    unused += entry.dispatched;
+                }
+            }
+            let detected = float(unused) >= float(all) * DETECTED_PART;
             if detected && self.detection[index].is_none() {
                 self.detection[index] = Some(now.saturating_sub(plan.start));
             }
