--- a/crates/bench/src/ejection.rs
+++ b/crates/bench/src/ejection.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use radishpaddle_model::{InstanceId, Percent};
+use radishpaddle_model::{AvailabilityZone, InstanceId, Percent};
 use radishpaddle_policy::{
     Balancer, Completion, DispatchId, HealthReport, HealthResponse, LocalStanding, Member,
     PathAvoidance, PickRequest, Recorder, RequestClass, ServerKey, VerdictView, subset_size,
@@ -67,6 +67,8 @@
 /// Entry side of pooled detection.
 #[derive(Debug)]
 pub struct Pooled {
+    /// Zone of the instance.
+    pub zone: AvailabilityZone,
     /// One balancer per service.
     pub balancers: Vec<Balancer>,
     /// Evidence of this instance.
@@ -275,6 +277,7 @@
             balancer
         });
         Self {
+            zone: zone_id(Node::Instance(instance).zone()),
             balancers: balancers.collect(),
             recorder: Recorder::new(),
             verdicts: VerdictView::new(id.clone()),
@@ -346,6 +349,7 @@
             self.verdicts.held(now)
         };
         HealthReport {
+            zone: Some(self.zone.clone()),
             cells: self.recorder.drain(now),
             applied,
             held,
--- a/crates/bench/src/emulator.rs
+++ b/crates/bench/src/emulator.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use radishpaddle_policy::Completion;
+use radishpaddle_quorum::Life;
+use radishpaddle_quorum::allocation::{AllocationReply, AllocationRequest};
 use radishpaddle_quorum::claim::{AbandonRequest, ClaimRegister, ClaimReply, CompleteRequest};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -19,7 +21,7 @@
 use crate::measure::Measure;
 use crate::number::{exponential_gap, mixed};
 use crate::policy::Policy;
-use crate::rate::Rates;
+use crate::rate::{Rates, WaitingRequest};
 use crate::request::{Attempt, CallerResult, Kind, Phase, Request};
 use crate::schedule::Schedule;
 use crate::user::{ACTION_PART, CALLER_LATENCY, Fleet, REQUEST_TIMEOUT, User};
@@ -88,6 +90,8 @@
     },
     /// The time for an attempt is over.
     AttemptTimeout { attempt: u64 },
+    /// The delay before a retry has passed.
+    Retry { request: u64, sending: u32 },
     /// The hedge delay of an attempt has passed.
     HedgeDelay { attempt: u64 },
     /// An entry instance looks at its queue.
@@ -102,6 +106,20 @@
     SyncAtLeader { message: Box<SyncRequest> },
     /// The answer of the leader reaches the entry instance.
     SyncResponse { message: Box<SyncResponse> },
+    /// A holder looks for due reports.
+    HolderTick { instance: usize },
+    /// A request that waits for a token asks again.
+    AskAgain { waiting: WaitingRequest },
+    /// Reports of a holder reach the leader.
+    AllocationAtLeader {
+        instance: usize,
+        message: Box<AllocationRequest>,
+    },
+    /// The answer of the pool reaches the holder.
+    AllocationReply {
+        instance: usize,
+        message: Box<AllocationReply>,
+    },
     /// The leader decides, or another one is elected.
     LeaderTick,
     /// A crashed server has started again.
@@ -132,6 +150,7 @@
     pub(crate) rates: Rates,
     pub(crate) leadership: Leadership,
     pub(crate) server_incarnations: Vec<u64>,
+    pub(crate) lost_lives: Vec<(Life, Duration)>,
     pub(crate) measure: Measure,
     pub(crate) next_claim: u64,
     pub(crate) next_attempt: u64,
@@ -166,6 +185,7 @@
             rates: Rates::new(policy, &fleet),
             leadership: Leadership::new(&fleet),
             server_incarnations: vec![1; fleet.server_count()],
+            lost_lives: Vec::new(),
             measure: Measure::new(&fleet, &plan, length),
             rng: SmallRng::seed_from_u64(mixed(&[seed, 2])),
             arrivals: SmallRng::seed_from_u64(mixed(&[seed, 1])),
@@ -211,6 +231,7 @@
             self.add_after(POLL_PERIOD / 2 + offset, Event::Poll { instance });
             self.add_after(offset, Event::HealthCheck { instance });
             self.add_after(offset, Event::Sync { instance });
+            self.add_after(offset / 8, Event::HolderTick { instance });
         }
         self.add_after(SAMPLE_PERIOD, Event::Sample);
         self.add_after(LEADER_OFFSET, Event::LeaderTick);
@@ -275,6 +296,7 @@
                 self.on_attempt_end(attempt, completion);
             }
             Event::AttemptTimeout { attempt } => self.on_attempt_timeout(attempt),
+            Event::Retry { request, sending } => self.on_retry(request, sending),
             Event::HedgeDelay { attempt } => self.on_hedge_delay(attempt),
             Event::LookAtQueue { instance, service } => self.on_look(instance, service),
             Event::Poll { instance } => self.on_poll(instance),
@@ -282,6 +304,14 @@
             Event::Sync { instance } => self.on_sync(instance),
             Event::SyncAtLeader { message } => self.on_sync_at_leader(*message),
             Event::SyncResponse { message } => self.on_sync_response(*message),
+            Event::HolderTick { instance } => self.on_holder_tick(instance),
+            Event::AskAgain { waiting } => self.on_ask_again(waiting),
+            Event::AllocationAtLeader { instance, message } => {
+                self.on_allocation_at_leader(instance, &message);
+            }
+            Event::AllocationReply { instance, message } => {
+                self.on_allocation_reply(instance, &message);
+            }
             Event::LeaderTick => self.on_leader_tick(),
             Event::ServerRestart { server } => self.on_server_restart(server),
             Event::Sample => self.on_sample(),
@@ -357,6 +387,7 @@
             live: Vec::new(),
             tried: Vec::new(),
             may_have_run: false,
+            retry_code: ResultCode::NoBackendServer,
             ticket: None,
             claim: None,
         };
@@ -446,9 +477,15 @@
     fn on_instance_change(&mut self, up: bool) {
         if up {
             self.entries[0] = Entry::new(self.policy, &self.fleet, 0, 2, self.now);
+            let life = self.life(0);
+            if let Some(rates) = self.rates.allocations() {
+                rates.restart(0, life);
+            }
             self.recover_register(0);
             return;
         }
+        let life = self.life(0);
+        self.lost_lives.push((life, self.now));
         self.entries[0].up = false;
         let mut lost: Vec<u64> = self
             .requests
