Follow the new interfaces of the policy and quorum crates

Cause: crashes carry an id, reports carry the zone of their instance, and a holder without a leader says so. Change: the entry process passes them on; a lost connection under a ticket counts as a crash only when it was confirmed; a request that loses its connection at two servers reports both crashes.

--- a/crates/bench/src/admission.rs
+++ b/crates/bench/src/admission.rs
@@ -71,7 +71,7 @@
         };
         let key = rates.keys[service][organisation].clone();
         let holder = &mut rates.holders[instance];
-        let admission = holder.admit_waiting(now, &key, waiting.since);
+        let admission = holder.admit_waiting(now, &key);
         if let Admission::Wait {
             leader_unreachable, ..
         } = admission
@@ -101,6 +101,9 @@
                 self.answer(id, CallerResult::Code(ResultCode::RateExceeded));
                 self.send_urgent(id);
             }
+            Admission::Unavailable => {
+                self.answer(id, CallerResult::Code(ResultCode::AllocationUnavailable));
+            }
             Admission::Wait { until, .. } => {
                 let at = until.min(self.requests[&id].deadline).max(self.now);
                 self.schedule.add(at, Event::AskAgain { waiting });
--- a/crates/capacity/src/measure.rs
+++ b/crates/capacity/src/measure.rs
@@ -263,6 +263,7 @@
         life: fixture::life(instance),
         epoch: Epoch(4_294_967_297),
         health: HealthReport {
+            zone: "zone-a".parse().ok(),
             cells: cells.to_vec(),
             applied: VerdictVersion::default(),
             held: Vec::new(),
@@ -306,6 +307,7 @@
             accepted: number - 1,
             rate: 0,
             burst: 0,
+            tokens: 0,
             returned_total: 0,
             wanted: 1_000_000,
             demand: 2_000_000,
--- a/crates/entry/src/admission_task.rs
+++ b/crates/entry/src/admission_task.rs
@@ -82,7 +82,6 @@
 }
 
 struct WaitingRequest {
-    since: Duration,
     ask_again_at: Duration,
     deadline: Duration,
     leader_unreachable: bool,
@@ -144,12 +143,14 @@
             Admission::RateExceeded => {
                 let _ = reply.send(Err(ResultCode::RateExceeded));
             }
+            Admission::Unavailable => {
+                let _ = reply.send(Err(ResultCode::AllocationUnavailable));
+            }
             Admission::Wait {
                 until,
                 leader_unreachable,
             } => {
                 let waiting = WaitingRequest {
-                    since: now,
                     ask_again_at: until,
                     deadline,
                     leader_unreachable,
@@ -215,13 +216,16 @@
                 kept.push_back(request);
                 continue;
             }
-            match self.holder.admit_waiting(now, key, request.since) {
+            match self.holder.admit_waiting(now, key) {
                 Admission::Admitted => {
                     let _ = request.reply.send(Ok(()));
                 }
                 Admission::RateExceeded => {
                     let _ = request.reply.send(Err(ResultCode::RateExceeded));
                 }
+                Admission::Unavailable => {
+                    let _ = request.reply.send(Err(ResultCode::AllocationUnavailable));
+                }
                 Admission::Wait {
                     until,
                     leader_unreachable,
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -149,13 +149,14 @@
             end.outcome,
             Attempt::Unknown(AttemptFailure::ConnectionLost)
         );
+        let mut crash = None;
         if lost {
             let lost = LostRequest {
                 server: Arc::clone(&end.server),
                 fingerprint: self.fingerprint,
                 ticket,
             };
-            self.poison.lost(lost).await;
+            crash = self.poison.lost(lost).await;
         }
         let Some(ticket) = ticket else {
             return;
@@ -164,8 +165,9 @@
             Attempt::Answered(answer) if is_shed(answer) => TicketOutcome::NotRun,
             Attempt::Answered(_) => TicketOutcome::Answered,
             Attempt::NotSent(_) => TicketOutcome::NotRun,
-            Attempt::Unknown(AttemptFailure::ConnectionLost) => TicketOutcome::Crashed,
-            Attempt::Unknown(_) => TicketOutcome::Unknown,
+            Attempt::Unknown(_) => crash.map_or(TicketOutcome::Unknown, |crash| {
+                TicketOutcome::Crashed { crash }
+            }),
         };
         self.tickets.finish(self.fingerprint, ticket, outcome).await;
     }
--- a/crates/entry/src/leader_state.rs
+++ b/crates/entry/src/leader_state.rs
@@ -1,7 +1,7 @@
 //! What the witness leader decides for the fleet: rate allocations, ejections, quarantine. It lives as
 //! long as the lease and is rebuilt from the reports of the entry instances by the next leader.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
 use radishpaddle_model::{FleetConfig, InstanceId, Revision};
 use radishpaddle_policy::detector::ServerInfo;
 use radishpaddle_policy::{
-    Decision, Fingerprint, HealthLeader, PoisonRegistry, ServerKey, ServiceKey, TicketResponse,
+    Decision, HealthLeader, PoisonRegistry, ServerKey, ServiceKey, TicketResponse,
 };
 use radishpaddle_quorum::Life;
 use radishpaddle_quorum::allocation::{
@@ -34,9 +34,6 @@
 /// Age at which the in-flight counts of an instance are dropped; six reports.
 const IN_FLIGHT_EXPIRY: Duration = Duration::from_millis(1_500);
 
-/// Crashes that are remembered, so that several reports of one crash count once.
-const KEPT_CRASHES: usize = 4_096;
-
 /// State of one lease.
 pub struct LeaderState {
     since: Leadership,
@@ -50,7 +47,6 @@
     servers: HashMap<ServerKey, Arc<BackendInfo>>,
     in_flight: HashMap<InstanceId, (Duration, HashMap<ServerKey, u32>)>,
     told: HashMap<InstanceId, u64>,
-    crashes: VecDeque<(Fingerprint, ServerKey, u64)>,
     waiting: Vec<WaitingCrash>,
 }
 
@@ -85,7 +81,6 @@
             servers: HashMap::new(),
             in_flight: HashMap::new(),
             told: HashMap::new(),
-            crashes: VecDeque::new(),
             waiting: Vec::new(),
         }
     }
@@ -165,17 +160,9 @@
         reply: oneshot::Sender<response::Kind>,
     ) {
         for (fingerprint, _) in &report.requests {
-            let crash = (*fingerprint, report.server, report.incarnation);
-            if self.crashes.contains(&crash) {
-                continue;
-            }
-            self.crashes.push_back(crash);
-            if self.crashes.len() > KEPT_CRASHES {
-                self.crashes.pop_front();
-            }
-            let state = self.poison.crashed(*fingerprint, now);
-            self.health.clear_evidence(report.server);
-            let server = self.server_name(report.server);
+            let state = self.poison.crashed(*fingerprint, report.crash, now);
+            self.health.clear_evidence(report.crash.server);
+            let server = self.server_name(report.crash.server);
             let detail =
                 json!({"fingerprint": fingerprint.to_string(), "state": format!("{state:?}")});
             self.journal
--- a/crates/entry/src/poison_task.rs
+++ b/crates/entry/src/poison_task.rs
@@ -10,7 +10,8 @@
 use radishpaddle_model::Incarnation;
 use radishpaddle_policy::quarantine::{Admission, Crash, QuarantineEntry};
 use radishpaddle_policy::{
-    CrashWatch, Fingerprint, QuarantineView, ServerKey, TicketId, TicketOutcome, TicketResponse,
+    CrashId, CrashWatch, Fingerprint, QuarantineView, ServerKey, TicketId, TicketOutcome,
+    TicketResponse,
 };
 use radishpaddle_quorum::Life;
 use radishpaddle_wire::WireError;
@@ -62,10 +63,12 @@
     pub ticket: Option<TicketId>,
 }
 
+type CrashReply = oneshot::Sender<Option<CrashId>>;
+
 enum Command {
     Admit(Fingerprint, oneshot::Sender<Admission>),
-    Lost(LostRequest, oneshot::Sender<()>),
-    Checked(LostRequest, bool, oneshot::Sender<()>),
+    Lost(LostRequest, CrashReply),
+    Checked(LostRequest, bool, CrashReply),
     Entries(oneshot::Sender<Vec<QuarantineEntry>>),
     Replace(Vec<QuarantineEntry>),
 }
@@ -123,13 +126,12 @@
         answer.await.unwrap_or(Admission::Run)
     }
 
-    /// Reports a request whose connection was lost. Returns once the fleet knows of the crash, if it
-    /// was one, so that a resend through another instance is seen as suspect there.
-    pub async fn lost(&self, lost: LostRequest) {
+    /// Reports a request whose connection was lost. Returns the crash, if it was one, once the fleet
+    /// knows of it, so that a resend through another instance is seen as suspect there.
+    pub async fn lost(&self, lost: LostRequest) -> Option<CrashId> {
         let (reply, done) = oneshot::channel();
-        if self.commands.send(Command::Lost(lost, reply)).await.is_ok() {
-            let _ = done.await;
-        }
+        self.commands.send(Command::Lost(lost, reply)).await.ok()?;
+        done.await.ok().flatten()
     }
 
     /// List to report to a new leader.
@@ -246,7 +248,7 @@
         }
     }
 
-    fn note_lost(&mut self, lost: LostRequest, reply: oneshot::Sender<()>, now: Duration) {
+    fn note_lost(&mut self, lost: LostRequest, reply: CrashReply, now: Duration) {
         let server = &lost.server;
         self.watch.lost(
             server.key,
@@ -264,40 +266,33 @@
         });
     }
 
-    fn checked(
-        &mut self,
-        lost: &LostRequest,
-        refused: bool,
-        reply: oneshot::Sender<()>,
-        now: Duration,
-    ) {
+    fn checked(&mut self, lost: &LostRequest, refused: bool, reply: CrashReply, now: Duration) {
         let crash = if refused {
             self.watch.refused(lost.server.key, now)
         } else {
-            self.same_request_at_other_server(lost, now)
+            self.lost_elsewhere(lost, now).map(|earlier| {
+                self.report(earlier, None);
+                crash_of(lost)
+            })
         };
         self.remember(lost, now);
         match crash {
             Some(crash) => self.report(crash, Some(reply)),
             None => {
-                let _ = reply.send(());
+                let _ = reply.send(None);
             }
         }
     }
 
-    /// A request that lost its connection at two servers within a short time counts as their crash,
-    /// also when they were back before the check.
-    fn same_request_at_other_server(&self, lost: &LostRequest, now: Duration) -> Option<Crash> {
-        let before = self.recent.iter().find(|(at, known)| {
+    /// A request that lost its connection at two servers within a short time counts as the crash of
+    /// both, also when they were back before the check. Returns the earlier one.
+    fn lost_elsewhere(&self, lost: &LostRequest, now: Duration) -> Option<Crash> {
+        let earlier = self.recent.iter().find(|(at, known)| {
             now < *at + SAME_REQUEST_WINDOW
                 && known.fingerprint == lost.fingerprint
                 && known.server.key != lost.server.key
         });
-        before.map(|_| Crash {
-            server: lost.server.key,
-            incarnation: lost.server.incarnation,
-            requests: vec![(lost.fingerprint, lost.ticket)],
-        })
+        earlier.map(|(_, known)| crash_of(known))
     }
 
     fn remember(&mut self, lost: &LostRequest, now: Duration) {
@@ -326,22 +321,21 @@
     }
 
     /// Marks the requests here at once and tells the leader.
-    fn report(&mut self, crash: Crash, reply: Option<oneshot::Sender<()>>) {
+    fn report(&mut self, crash: Crash, reply: Option<CrashReply>) {
         let now = self.clock.now();
         for (fingerprint, _) in &crash.requests {
-            self.view.suspect(*fingerprint, now);
+            self.view.suspect(*fingerprint, crash.id, now);
         }
         let requests: Vec<String> = crash
             .requests
             .iter()
             .map(|(fingerprint, _)| fingerprint.to_string())
             .collect();
-        let detail = json!({"server": crash.server.to_string(), "requests": requests});
+        let detail = json!({"server": crash.id.server.to_string(), "requests": requests});
         self.journal.record("crash_seen", None, None, detail);
         let report = CrashReport {
             life: self.life.clone(),
-            server: crash.server,
-            incarnation: crash.incarnation.0,
+            crash: crash.id,
             requests: crash.requests,
         };
         let port = leader_port(&self.fleet, &self.ports);
@@ -350,12 +344,23 @@
                 let _ = send_report(&port, &report).await;
             }
             if let Some(reply) = reply {
-                let _ = reply.send(());
+                let _ = reply.send(Some(report.crash));
             }
         });
     }
 }
 
+/// The end of the life of the server that had the request.
+fn crash_of(lost: &LostRequest) -> Crash {
+    Crash {
+        id: CrashId {
+            server: lost.server.key,
+            incarnation: lost.server.incarnation,
+        },
+        requests: vec![(lost.fingerprint, lost.ticket)],
+    }
+}
+
 async fn send_report(port: &WitnessPort, report: &CrashReport) -> Result<(), WireError> {
     let kind = request::Kind::Crash(encode(report)?);
     match port.call(kind, CRASH_TIMEOUT).await? {
--- a/crates/entry/src/sync_message.rs
+++ b/crates/entry/src/sync_message.rs
@@ -2,7 +2,7 @@
 
 use radishpaddle_policy::quarantine::QuarantineEntry;
 use radishpaddle_policy::{
-    Fingerprint, HealthReport, HealthResponse, ServerKey, TicketId, TicketOutcome,
+    CrashId, Fingerprint, HealthReport, HealthResponse, ServerKey, TicketId, TicketOutcome,
 };
 use radishpaddle_quorum::{Epoch, Life};
 use serde::{Deserialize, Serialize};
@@ -44,10 +44,8 @@
 pub struct CrashReport {
     /// Reporting instance.
     pub life: Life,
-    /// The backend server.
-    pub server: ServerKey,
-    /// Life of the backend server that ended.
-    pub incarnation: u64,
+    /// The crash, named by server and incarnation so that several reports count once.
+    pub crash: CrashId,
     /// Requests that it had in flight from this instance, with the ticket under which each ran.
     pub requests: Vec<(Fingerprint, Option<TicketId>)>,
 }
--- a/crates/entry/src/sync_task.rs
+++ b/crates/entry/src/sync_task.rs
@@ -112,6 +112,7 @@
             life: self.inputs.life.clone(),
             epoch: leader.epoch,
             health: HealthReport {
+                zone: Some(self.inputs.context.availability_zone.clone()),
                 cells,
                 applied,
                 held: if other_epoch {
