--- a/crates/bench/src/emulator.rs
+++ b/crates/bench/src/emulator.rs
@@ -535,7 +535,6 @@
     };
     match code {
         ResultCode::NotFresh
-        | ResultCode::Stopping
         | ResultCode::ClaimUnavailable
         | ResultCode::ClaimContended
         | ResultCode::AllocationUnavailable => true,
--- a/crates/consensus/src/submissions.rs
+++ b/crates/consensus/src/submissions.rs
@@ -139,9 +139,9 @@
     pub const fn code(&self) -> ResultCode {
         match self {
             Self::Committed { .. } => ResultCode::Committed,
-            Self::RevisionConflict { .. } | Self::KeyNotNew | Self::HostTaken => {
-                ResultCode::RevisionConflict
-            }
+            Self::RevisionConflict { .. } => ResultCode::RevisionConflict,
+            Self::KeyNotNew => ResultCode::KeyNotNew,
+            Self::HostTaken => ResultCode::HostTaken,
             Self::NotFound => ResultCode::NotFound,
             Self::IdReused => ResultCode::SubmissionIdReused,
         }
--- a/crates/control/src/control_state.rs
+++ b/crates/control/src/control_state.rs
@@ -34,13 +34,16 @@
 pub struct ControlState {
     /// Configuration, results of submissions and changes for deltas.
     pub submissions: Submissions,
-    /// Witnesses; absent before the first generation.
+    /// Witnesses; absent before the first generation and after a restore.
     pub generation: Option<GenerationRecord>,
+    /// Whether the state comes from an export, so that witnesses of an unknown generation may run.
+    pub restored: bool,
 }
 
 #[derive(Serialize, Deserialize)]
 struct EncodedControlState {
     generation: Option<GenerationRecord>,
+    restored: bool,
     submissions: String,
 }
 
@@ -65,6 +68,7 @@
                 let current = self.generation.as_ref().map(|known| known.group.generation);
                 if current < Some(record.group.generation) {
                     self.generation = Some(record.clone());
+                    self.restored = false;
                 }
                 Ok(None)
             }
@@ -75,6 +79,7 @@
     pub fn continue_above(&mut self, revision: Revision) {
         self.submissions.continue_above(revision);
         self.generation = None;
+        self.restored = true;
     }
 
     /// Bytes of a snapshot.
@@ -86,6 +91,7 @@
         let submissions = self.submissions.encode()?;
         let encoded = EncodedControlState {
             generation: self.generation.clone(),
+            restored: self.restored,
             submissions: String::from_utf8_lossy(&submissions).into_owned(),
         };
         Ok(serde_json::to_vec(&encoded)?)
@@ -105,6 +111,7 @@
         Ok(Self {
             submissions: Submissions::decode(encoded.submissions.as_bytes())?,
             generation: encoded.generation,
+            restored: encoded.restored,
         })
     }
 }
--- a/crates/control/src/distribution.rs
+++ b/crates/control/src/distribution.rs
@@ -281,6 +281,7 @@
         };
         let current = self.recent_statuses();
         match &view.state.generation {
+            None if view.state.restored => self.start_after_restore(&current),
             None => {
                 let recovering = current.iter().filter(|status| status.recovering).count();
                 if recovering > self.witnesses.len() / 2 && self.waited_for_all(current.len()) {
@@ -295,6 +296,21 @@
         }
     }
 
+    /// Witnesses that still run keep their claims in the next generation. Claims count as lost unless
+    /// every witness does, because a restarted one may be the only one that had them.
+    fn start_after_restore(&mut self, current: &[WitnessStatus]) {
+        let majority = current.len() > self.witnesses.len() / 2;
+        if !majority || !self.waited_for_all(current.len()) {
+            return;
+        }
+        let newest = current.iter().map(|status| status.generation).max();
+        let all_serve = current.len() == self.witnesses.len()
+            && current.iter().all(|status| !status.recovering);
+        let generation = Generation(newest.unwrap_or(0) + 1);
+        let record = self.record(generation, current, !all_serve);
+        self.propose(record);
+    }
+
     fn recent_statuses(&self) -> Vec<WitnessStatus> {
         let recent = |link: &&WitnessLink| {
             let asked = link.status.as_ref();
--- a/crates/dev/src/main.rs
+++ b/crates/dev/src/main.rs
@@ -105,10 +105,8 @@
     }
     fleet.add_backends(layout, &service, BACKENDS).await?;
     print_guide(layout);
-    match options.run_for {
-        Some(limit) => tokio::time::sleep(limit).await,
-        None => signals.next().await,
-    }
+    let limit = options.run_for.unwrap_or(Duration::MAX);
+    let _ = tokio::time::timeout(limit, signals.next()).await;
     println!("stopping ...");
     fleet.stop().await;
     Ok(())
--- /dev/null
+++ b/crates/e2e/tests/restore.rs
@@ -0,0 +1,149 @@
+//! Restore of control state from an export while the fleet runs.
+
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use radishpaddle_e2e::fleet::Node;
+use radishpaddle_e2e::plan::{document, organisation};
+use radishpaddle_e2e::traffic::operation;
+use radishpaddle_e2e::{FleetPlan, ProcessFleet};
+use radishpaddle_testkit::backend::RunningBackend;
+use radishpaddle_testkit::caller::{Caller, CallerSettings, Told};
+use radishpaddle_testkit::process::workspace_binary;
+
+const CONTROL: Node = Node::Control(0);
+
+/// Longest wait for a process that starts.
+const START: Duration = Duration::from_secs(30);
+
+fn caller(fleet: &ProcessFleet, key: &str) -> Caller {
+    let settings = CallerSettings {
+        max_attempts: 1,
+        ..CallerSettings::new(fleet.caller_addresses())
+            .with_key(organisation("north").unwrap(), key)
+    };
+    Caller::new(settings, None)
+}
+
+async fn wait_until(what: &str, limit: Duration, mut done: impl AsyncFnMut() -> bool) {
+    let until = Instant::now() + limit;
+    while !done().await {
+        assert!(Instant::now() < until, "{what} did not happen in {limit:?}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+async fn lookup(caller: &Caller) -> Told {
+    let service = "bookings".parse().unwrap();
+    caller
+        .perform(&operation(&service, "lookup".into(), false))
+        .await
+}
+
+async fn act(caller: &Caller) -> Told {
+    let service = "bookings".parse().unwrap();
+    caller
+        .perform(&operation(&service, "action".into(), true))
+        .await
+}
+
+fn executions(fleet: &ProcessFleet) -> usize {
+    let executions = fleet.backends().iter().flat_map(RunningBackend::executions);
+    executions
+        .filter(|execution| execution.method == "POST")
+        .count()
+}
+
+/// Stops control, exports its state, and founds a new group from the export in an empty directory.
+fn restore_control(fleet: &mut ProcessFleet, above: &str) {
+    let program = workspace_binary("radishpaddle-control").unwrap();
+    fleet.process(CONTROL).kill().unwrap();
+    let directory = fleet.process(CONTROL).directory().to_owned();
+    let settings = directory.join("settings.json");
+    let file = directory.join("export");
+    let run = |arguments: &[&std::ffi::OsStr]| {
+        let output = Command::new(&program).args(arguments).output().unwrap();
+        assert!(output.status.success(), "{output:?}");
+    };
+    run(&["--export".as_ref(), file.as_ref(), settings.as_ref()]);
+    std::fs::remove_dir_all(directory.join("data")).unwrap();
+    run(&[
+        "--restore".as_ref(),
+        file.as_ref(),
+        "--above".as_ref(),
+        above.as_ref(),
+        settings.as_ref(),
+    ]);
+    fleet.restart(CONTROL).unwrap();
+    fleet.wait_node(CONTROL, START).unwrap();
+}
+
+/// Guards against a restored control group whose changes never reach the running witnesses, and
+/// against an action that runs again because the witnesses were started anew after the restore.
+#[tokio::test(flavor = "multi_thread")]
+async fn restored_control_reaches_running_witnesses_and_no_action_runs_again() {
+    let mut fleet = ProcessFleet::start(FleetPlan::default()).await.unwrap();
+    let operator = fleet.operator();
+    operator.put(&document(1_000.0, 200).unwrap()).unwrap();
+    let key = operator.give("north", "north-1").unwrap();
+    let north = caller(&fleet, &key);
+    wait_until("the first answer", START, async || {
+        matches!(lookup(&north).await, Told::Answer { status: 200, .. })
+    })
+    .await;
+    assert!(matches!(
+        act(&north).await,
+        Told::Answer {
+            code: Some(1000),
+            ..
+        }
+    ));
+
+    tokio::task::block_in_place(|| restore_control(&mut fleet, "50"));
+
+    let told = act(&north).await;
+    assert!(
+        matches!(
+            told,
+            Told::Answer {
+                code: Some(1001),
+                ..
+            }
+        ),
+        "{told:?}"
+    );
+    wait_until("the restored revision in force", START, async || {
+        let printed = tokio::task::block_in_place(|| operator.run(&["status"]));
+        printed.is_ok_and(|printed| printed.contains("\"in_force\": 51"))
+    })
+    .await;
+    tokio::task::block_in_place(|| operator.withdraw("north-1")).unwrap();
+    // Design 4.1: at most 4 s after the acknowledgement.
+    wait_until("the end of the key", Duration::from_secs(4), async || {
+        matches!(lookup(&north).await, Told::NotRun { code: 2002 })
+    })
+    .await;
+    let second = tokio::task::block_in_place(|| operator.give("north", "north-2")).unwrap();
+    restart_entries(&mut fleet);
+    let north = caller(&fleet, &second);
+    wait_until("answers after the restart", START, async || {
+        matches!(lookup(&north).await, Told::Answer { status: 200, .. })
+    })
+    .await;
+
+    let told = act(&north).await;
+
+    assert!(matches!(told, Told::NotRun { code: 2011 }), "{told:?}");
+    assert_eq!(executions(&fleet), 1);
+}
+
+/// All witnesses lose their memory at the same time.
+fn restart_entries(fleet: &mut ProcessFleet) {
+    for entry in 0..3 {
+        fleet.process(Node::Entry(entry)).kill().unwrap();
+    }
+    for entry in 0..3 {
+        fleet.restart(Node::Entry(entry)).unwrap();
+    }
+    tokio::task::block_in_place(|| fleet.wait_ready(START)).unwrap();
+}
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -270,6 +270,16 @@
         connection.send(request, self.deadline, limit).await
     }
 
+    fn answered(&self, mut answer: BackendAnswer) -> Answer {
+        strip_answer_headers(&mut answer.headers, self.request.is_head());
+        Answer {
+            code: ResultCode::Answered,
+            status: answer.status,
+            headers: answer.headers,
+            body: answer.body,
+        }
+    }
+
     /// The end of the request, or the fault after which a retry may be asked for.
     fn conclude(&self, end: AttemptEnd) -> Result<RequestEnd, Box<Fault>> {
         match end.outcome {
@@ -280,10 +290,10 @@
             Attempt::Answered(answer) if self.idempotent && answer.status.as_u16() >= 500 => {
                 Err(Box::new(Fault {
                     fault: AttemptFault::ServerError,
-                    end: RequestEnd::Answered(answered(answer)),
+                    end: RequestEnd::Answered(self.answered(answer)),
                 }))
             }
-            Attempt::Answered(answer) => Ok(RequestEnd::Answered(answered(answer))),
+            Attempt::Answered(answer) => Ok(RequestEnd::Answered(self.answered(answer))),
             Attempt::NotSent(_) => Err(Box::new(Fault {
                 fault: AttemptFault::ConnectFailed,
                 end: RequestEnd::NotRun(ResultCode::BackendUnreachable),
@@ -341,13 +351,3 @@
         }
     }
 }
-
-fn answered(mut answer: BackendAnswer) -> Answer {
-    strip_answer_headers(&mut answer.headers);
-    Answer {
-        code: ResultCode::Answered,
-        status: answer.status,
-        headers: answer.headers,
-        body: answer.body,
-    }
-}
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -7,7 +7,7 @@
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Uri};
-use radishpaddle_model::{OrganisationId, OrganisationKey};
+use radishpaddle_model::{KeyHash, OrganisationId, OrganisationKey};
 
 use crate::answer::REQUEST_ID;
 
@@ -53,11 +53,43 @@
         .then(|| token.trim_start())
 }
 
-/// Whether path, query or body contain the key, so that forwarding them would reveal it.
+/// Whether path, query or body contain the presented key, so that forwarding them would reveal it.
 #[must_use]
 pub fn reveals_key(uri: &Uri, body: &[u8], key: &OrganisationKey) -> bool {
-    let secret = key.reveal();
-    uri.to_string().contains(secret) || contains(body, secret.as_bytes())
+    let secret = key.reveal().as_bytes();
+    contains(uri.to_string().as_bytes(), secret)
+        || contains(&percent_decoded(&uri.to_string()), secret)
+        || contains(body, secret)
+}
+
+/// Whether a part of the path or a value of the query is a key in force, also when no key was
+/// presented or another one.
+#[must_use]
+pub fn holds_known_key(uri: &Uri, is_known: impl Fn(&KeyHash) -> bool) -> bool {
+    let path = uri.path().split('/');
+    let query = uri.query().unwrap_or_default().split(['&', '=', ';']);
+    path.chain(query).any(|part| {
+        let decoded = percent_decoded(part);
+        let key = std::str::from_utf8(&decoded).ok();
+        let key = key.and_then(|text| text.parse::<OrganisationKey>().ok());
+        key.is_some_and(|key| is_known(&key.hash()))
+    })
+}
+
+/// Bytes of a URI with its `%XX` escapes resolved; malformed escapes stay as they are.
+fn percent_decoded(text: &str) -> Vec<u8> {
+    let bytes = text.as_bytes();
+    let mut decoded = Vec::with_capacity(bytes.len());
+    let mut index = 0;
+    while index < bytes.len() {
+        let escape = (bytes[index] == b'%').then(|| text.get(index + 1..index + 3));
+        let value = escape
+            .flatten()
+            .and_then(|hex| u8::from_str_radix(hex, 16).ok());
+        decoded.push(value.unwrap_or(bytes[index]));
+        index += if value.is_some() { 3 } else { 1 };
+    }
+    decoded
 }
 
 fn contains(haystack: &[u8], needle: &[u8]) -> bool {
@@ -116,6 +148,12 @@
         Request::from_parts(parts, Full::new(self.body.clone()))
     }
 
+    /// Whether the answer has no body whatever its Content-Length says.
+    #[must_use]
+    pub fn is_head(&self) -> bool {
+        self.parts.method == hyper::Method::HEAD
+    }
+
     /// Method, path with query and body, for fingerprints.
     #[must_use]
     pub fn identity(&self) -> (&str, &str, &[u8]) {
@@ -150,9 +188,15 @@
 }
 
 /// Removes the headers of an answer that belong to the connection to the backend server.
-pub fn strip_answer_headers(headers: &mut HeaderMap) {
+///
+/// The length stays in the answer to HEAD, where it describes a body that is not there.
+pub fn strip_answer_headers(headers: &mut HeaderMap, is_head: bool) {
+    let length = headers.get(header::CONTENT_LENGTH).cloned();
     let named = connection_headers(headers);
     for name in NOT_FORWARDED.iter().chain(&named) {
         headers.remove(name);
     }
+    if let Some(length) = length.filter(|_| is_head) {
+        headers.insert(header::CONTENT_LENGTH, length);
+    }
 }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -26,7 +26,9 @@
 use crate::clock::Clock;
 use crate::config_store::{ConfigStore, organisation_for_key, service_for_host};
 use crate::fleet_view::FleetWatch;
-use crate::forward::{DEADLINE_MS, ForwardRequest, IDEMPOTENCY_KEY, presented_key, reveals_key};
+use crate::forward::{
+    DEADLINE_MS, ForwardRequest, IDEMPOTENCY_KEY, holds_known_key, presented_key, reveals_key,
+};
 use crate::metrics::{RequestLabels, RequestMetrics};
 use crate::poison_task::{PoisonHandle, Tickets};
 use crate::services::Services;
@@ -106,8 +108,13 @@
         self.metrics.in_progress.inc();
         let (parts, body) = request.into_parts();
         let config = self.config.current();
-        let resolved = self.resolve(&config, &parts);
+        let resolved = Self::resolve(&config, &parts);
+        let fresh = self.fleet.borrow().is_fresh(self.clock.now());
         let answer = match &resolved {
+            _ if !fresh => Answer::refusal(
+                ResultCode::NotFresh,
+                "this instance cannot confirm that its configuration is current",
+            ),
             Ok(resolved) => {
                 self.serve(resolved, parts, body, started_at, request_id)
                     .await
@@ -121,11 +128,8 @@
         answer
     }
 
-    fn resolve(&self, config: &FleetConfig, parts: &Parts) -> Result<Resolved, Refused> {
-        if !self.fleet.borrow().is_fresh(self.clock.now()) {
-            let message = "this instance cannot confirm that its configuration is current";
-            return Err((ResultCode::NotFresh, message));
-        }
+    /// Finds caller and route; also while this instance is not fresh, for the labels of the refusal.
+    fn resolve(config: &FleetConfig, parts: &Parts) -> Result<Resolved, Refused> {
         let host = host(parts).ok_or((ResultCode::BadRequest, "the Host header is missing"))?;
         let (service, document) = service_for_host(config, &host)
             .ok_or((ResultCode::NoRoute, "no service has this host"))?;
@@ -138,6 +142,10 @@
             return Err((ResultCode::MethodNotAllowed, message));
         }
         let (organisation, key) = identify(config, document, route, parts)?;
+        if holds_known_key(&parts.uri, |hash| config.keys.contains_key(hash)) {
+            let message = "path or query contain an organisation key";
+            return Err((ResultCode::BadRequest, message));
+        }
         Ok(Resolved {
             service: service.clone(),
             document: Arc::clone(document),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -49,10 +49,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct AdvertiseSettings {
-    /// Address for callers.
+    /// Address for callers; needed when the bound one is unspecified.
     pub callers: Option<SocketAddr>,
-    /// Address for other processes of the fleet.
-    pub peers: Option<SocketAddr>,
 }
 
 /// One witness.
@@ -142,12 +140,6 @@
         self.advertise.callers.unwrap_or(self.listen.callers)
     }
 
-    /// Address for other processes of the fleet.
-    #[must_use]
-    pub fn peer_address(&self) -> SocketAddr {
-        self.advertise.peers.unwrap_or(self.listen.peers)
-    }
-
     /// Whether this instance is a witness.
     #[must_use]
     pub fn is_witness(&self) -> bool {
@@ -186,6 +178,10 @@
             addresses.push((field, witness.peer_address));
         }
         self.common.check_peer_addresses(report, &addresses);
+        if self.caller_address().ip().is_unspecified() {
+            let allowed = "an address that callers can reach";
+            report.add("advertise.callers", &self.caller_address(), allowed);
+        }
         if self.backend_token.len() < 16 {
             report.add("backend_token", &"(hidden)", "at least 16 characters");
         }
--- a/crates/model/src/result_code.rs
+++ b/crates/model/src/result_code.rs
@@ -88,8 +88,6 @@
     RequestTooLarge = 2013, 413, NotRun, "request_too_large";
     /// The request is malformed.
     BadRequest = 2014, 400, NotRun, "bad_request";
-    /// The instance is stopping.
-    Stopping = 2015, 503, NotRun, "stopping";
     /// The route does not take the method.
     MethodNotAllowed = 2016, 405, NotRun, "method_not_allowed";
     /// Every backend server that was tried shed the request.
@@ -132,6 +130,10 @@
     SubmissionIdReused = 4007, 409, NotRun, "submission_id_reused";
     /// The data folder cannot be written.
     StorageFailed = 4008, 507, NotRun, "storage_failed";
+    /// Another service has one of the hosts of the document.
+    HostTaken = 4009, 409, NotRun, "host_taken";
+    /// The key id or the key is or was in use.
+    KeyNotNew = 4010, 409, NotRun, "key_not_new";
     /// The announcement is not valid.
     AnnouncementInvalid = 5001, 422, NotRun, "announcement_invalid";
     /// A newer incarnation of the backend server is known.
--- a/crates/testkit/src/caller/mod.rs
+++ b/crates/testkit/src/caller/mod.rs
@@ -305,7 +305,6 @@
         Code::NoBackendServer,
         Code::Overloaded,
         Code::ClaimUnavailable,
-        Code::Stopping,
         Code::Shed,
         Code::BackendUnreachable,
         Code::ClaimContended,
