Report ready only once a leader is known

Cause: right after the start of a fleet the first request waited 2.0 s and was refused with 2021, because the witnesses elect their first leader 2.1 s after the generation begins. Change: an instance is ready, and named to callers as serving, when it is fresh and has seen a leader since its start. Later it goes on without a leader under the allocations that it holds. Before: 2021 for the first request in 2 of 2 starts. After: none in 2 starts, the first answer came after 0.27 s and 0.02 s (debug build, busy machine).

--- a/crates/entry/src/poll_task.rs
+++ b/crates/entry/src/poll_task.rs
@@ -90,6 +90,7 @@
         next_number: 0,
         next_reader: 0,
         fetching: false,
+        has_seen_leader: false,
     };
     tokio::spawn(task.run(incoming));
 }
@@ -106,6 +107,7 @@
     next_number: u64,
     next_reader: usize,
     fetching: bool,
+    has_seen_leader: bool,
 }
 
 impl PollTask {
@@ -157,7 +159,7 @@
         let now = self.inputs.clock.now();
         let state = if context.stopping.is_cancelled() {
             InstanceState::Leaving
-        } else if self.freshness.is_fresh(now) {
+        } else if self.is_ready(now) {
             InstanceState::Serving
         } else {
             InstanceState::NotReady
@@ -263,7 +265,8 @@
 
     fn publish(&mut self) {
         let now = self.inputs.clock.now();
-        self.inputs.readiness.set(self.freshness.is_fresh(now));
+        self.has_seen_leader |= self.latest_leader().is_some();
+        self.inputs.readiness.set(self.is_ready(now));
         let group = self.freshness.group();
         let view = FleetView {
             fresh_until: self.freshness.fresh_until(),
@@ -276,6 +279,12 @@
         self.inputs.view.send_replace(view);
     }
 
+    /// Fresh, and after the start also with a leader: without one the instance gets no rate
+    /// allocation and refuses requests that are within the rate. Later it admits under what it holds.
+    fn is_ready(&self, now: Duration) -> bool {
+        self.freshness.is_fresh(now) && self.has_seen_leader
+    }
+
     fn latest_leader(&self) -> Option<Leader> {
         let leaders = self.leaders.values().flatten();
         leaders.max_by_key(|leader| leader.epoch).cloned()
