--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -143,8 +143,8 @@
         }
     }
 
-    /// Starts an election as a learner whose vote is asked for and who has entries that the sender
-    /// lacks. The sender counts this replica as a voter because of an uncommitted promotion, and
+    /// Starts an election as a learner whose vote is asked for and that has newer entries than the
+    /// sender. The sender counts this replica as a voter because of an uncommitted promotion, and
     /// without this vote the group might never elect a leader again. The votes of the membership
     /// known here are counted, not the own one, so the election is as safe as any other; once its
     /// entries are committed, a leader that does not vote steps down.
--- a/crates/consensus/src/repair.rs
+++ b/crates/consensus/src/repair.rs
@@ -15,7 +15,8 @@
     /// # Errors
     ///
     /// The replica does not lead, an earlier change is uncommitted, the learner has not caught up,
-    /// the change does not fit, or too few voters would remain reachable. A leader cannot remove itself; it transfers leadership first.
+    /// the change does not fit, or too few voters would remain reachable. A leader cannot remove
+    /// itself; it transfers the leadership first.
     pub fn propose_membership(&mut self, change: &MembershipChange) -> Result<u64, ProposeError> {
         self.check_leading()?;
         if self.change_is_pending() {
--- a/crates/storage/tests/faults/main.rs
+++ b/crates/storage/tests/faults/main.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 
 use proptest::prelude::*;
+use proptest::sample::Index;
 use radishpaddle_storage::{Export, StorageError};
 
 use crate::memory::{Fault, MemoryFileSystem};
@@ -224,7 +225,7 @@
 
     /// Guards against an interrupted append that makes the directory unreadable.
     #[test]
-    fn torn_tail_is_cut_off(tail in proptest::collection::vec(any::<u8>(), 1..200)) {
+    fn torn_tail_is_cut_off(tail in prop::collection::vec(any::<u8>(), 1..200)) {
         let (system, content) = finished();
         let newest = system.files().into_iter().rfind(|path| is_segment(path)).unwrap();
         system.edit(&newest, |bytes| bytes.extend_from_slice(&tail));
@@ -239,8 +240,8 @@
     /// is read is a part of what was written, without a hole.
     #[test]
     fn damage_in_several_places_is_never_read_as_data(
-        flips in proptest::collection::vec((any::<prop::sample::Index>(), any::<u16>(), 0..8u8), 1..4),
-        cut in proptest::option::of((any::<prop::sample::Index>(), any::<u16>())),
+        flips in prop::collection::vec((any::<Index>(), any::<u16>(), 0..8u8), 1..4),
+        cut in prop::option::of((any::<Index>(), any::<u16>())),
         lose_marker in any::<bool>(),
     ) {
         let (system, content) = finished();
