--- a/crates/consensus/src/repair.rs
+++ b/crates/consensus/src/repair.rs
@@ -68,9 +68,10 @@
     /// The learner is promoted before the lost voter is removed. From three voters this keeps the
     /// group alive when one disk is lost at any moment, even if the unreachable voter was only cut
     /// off; in the other order the loss of a disk during the interim set of two would end the
-    /// group. With the largest voting set the lost voter is removed first. Each step is proposed
-    /// only if a quorum of the membership after it answers and has caught up, so that a second loss
-    /// right after it meets a set whose majority holds every committed entry.
+    /// group. With the largest voting set the lost voter is removed first, and until the learner is
+    /// promoted the six that remain survive the loss of two disks. Each step is proposed only if a
+    /// quorum of the membership after it answers and has caught up, so that a second loss right
+    /// after it meets a set whose majority holds every committed entry.
     pub(crate) fn repair(&mut self) {
         let transferring = self.lead.transfer.is_some();
         if !self.config.automatic_repair || transferring || self.change_is_pending() {
