--- a/crates/control/src/distribution.rs
+++ b/crates/control/src/distribution.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use radishpaddle_consensus::Role;
+use radishpaddle_kernel::Journal;
 use radishpaddle_model::{Incarnation, InstanceId, Revision};
 use radishpaddle_quorum::freshness::Propagation;
 use radishpaddle_quorum::witness::{GenerationStart, StoreReply};
@@ -14,6 +15,7 @@
 use radishpaddle_wire::{
     ClientIdentity, PeerClient, WireError, WitnessStatus, decode_response, encode,
 };
+use serde_json::json;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior};
 
@@ -51,6 +53,7 @@
     settings: &ControlSettings,
     identity: &ClientIdentity,
     replica: ReplicaHandle,
+    journal: Journal,
 ) -> watch::Receiver<SpreadView> {
     let (view, receiver) = watch::channel(SpreadView::default());
     let (answers, incoming) = mpsc::channel(64);
@@ -70,6 +73,7 @@
         lost_since: None,
         answers,
         view,
+        journal,
     };
     tokio::spawn(task.run(incoming));
     receiver
@@ -113,6 +117,7 @@
     lost_since: Option<Instant>,
     answers: mpsc::Sender<Answer>,
     view: watch::Sender<SpreadView>,
+    journal: Journal,
 }
 
 impl Distribution {
@@ -382,6 +387,13 @@
     }
 
     fn propose(&self, record: GenerationRecord) {
+        let detail = json!({
+            "generation": record.group.generation,
+            "claims_lost": record.claims_lost,
+            "witnesses": record.lives,
+        });
+        self.journal
+            .record("generation_started", None, None, detail);
         let replica = self.replica.clone();
         tokio::spawn(async move {
             let _ = replica.propose(LogCommand::StartGeneration(record)).await;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod disk;
 pub mod distribution;
 pub mod maintenance;
+pub mod metrics;
 pub mod operator_api;
 mod parts;
 pub mod peer_handler;
--- a/crates/control/src/parts.rs
+++ b/crates/control/src/parts.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 
 use crate::distribution::{self, SpreadView};
+use crate::metrics::ControlMetrics;
 use crate::operator_api::{OperatorApi, OperatorServer};
 use crate::peer_handler::ControlPeerHandler;
 use crate::replica_task::ReplicaHandle;
@@ -98,7 +99,10 @@
         let settings = context.get::<ControlSettings>()?;
         let replica = ReplicaHandle::clone(&*context.get::<ReplicaHandle>()?);
         let identity = identity(&context, &settings)?;
-        let view = distribution::spawn(&settings, &identity, replica);
+        let metrics = ControlMetrics::register(&context.metrics)?;
+        let watch = replica.watch();
+        let view = distribution::spawn(&settings, &identity, replica, context.journal.clone());
+        tokio::spawn(metrics.follow(watch, view.clone()));
         context.provide(Arc::new(view));
         Ok(Running::holding(()))
     })
--- a/crates/control/src/replica_task.rs
+++ b/crates/control/src/replica_task.rs
@@ -276,7 +276,9 @@
 
     fn tick(&mut self) {
         self.replica.tick();
-        if self.replica.membership().group == 0 {
+        // A learner that was removed is not told; it asks again when it hears of no leader.
+        let outside = !self.replica.membership().is_voter(self.replica.id());
+        if outside && self.replica.leader().is_none() {
             self.ask_to_join();
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod peer_handler;
 pub mod poison_task;
 pub mod poll_task;
+pub mod refusal_log;
 pub mod request;
 pub mod service_task;
 pub mod services;
--- a/crates/entry/src/parts.rs
+++ b/crates/entry/src/parts.rs
@@ -30,6 +30,7 @@
 use crate::peer_handler::EntryPeerHandler;
 use crate::poison_task::{PoisonHandle, Tickets};
 use crate::poll_task::{self, PollInputs};
+use crate::refusal_log::RefusalLog;
 use crate::request::{RequestHandler, RequestIds};
 use crate::services::Services;
 use crate::settings::{EntrySettings, LimitSettings};
@@ -245,6 +246,7 @@
             },
             claims: Claims::new(life(&context), ports, clock),
             metrics: RequestMetrics::clone(&*context.get::<RequestMetrics>()?),
+            refusals: RefusalLog::new(context.journal.clone()),
             clock,
             request_ids: ids,
             settings,
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -11,8 +11,8 @@
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use radishpaddle_model::{
-    Access, FleetConfig, OrganisationId, OrganisationKey, ResultCode, Route, ServiceDocument,
-    ServiceId,
+    Access, FleetConfig, OrganisationId, OrganisationKey, Outcome, ResultCode, Route,
+    ServiceDocument, ServiceId,
 };
 use radishpaddle_policy::{Fingerprint as PoisonFingerprint, RequestClass};
 use radishpaddle_quorum::allocation::LimitKey;
@@ -31,6 +31,7 @@
 };
 use crate::metrics::{RequestLabels, RequestMetrics};
 use crate::poison_task::{PoisonHandle, Tickets};
+use crate::refusal_log::RefusalLog;
 use crate::services::Services;
 use crate::settings::EntrySettings;
 
@@ -60,6 +61,8 @@
     pub tickets: Tickets,
     /// Metrics.
     pub metrics: RequestMetrics,
+    /// Refusals in the journal.
+    pub refusals: RefusalLog,
     /// Local time.
     pub clock: Clock,
     /// Prefix and counter of request ids.
@@ -125,6 +128,10 @@
         let labels = resolved.as_ref().map(labels).unwrap_or_default();
         self.metrics
             .finished(labels, answer.code, started_at.elapsed());
+        if answer.code.outcome() != Outcome::Done {
+            let now = self.clock.now();
+            self.refusals.note(labels, answer.code, request_id, now);
+        }
         answer
     }
 
