--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -22,8 +23,11 @@
 /// Bytes of the log that an error message shows.
 const LOG_TAIL_BYTES: usize = 4_096;
 
-/// Attempts to find a port that this process has not handed out before.
-const PORT_ATTEMPTS: usize = 1_000;
+/// First port for tests.
+const FIRST_PORT: u16 = 12_000;
+
+/// Ports for tests. They end below 32768, where Linux starts to take ports for outgoing connections.
+const PORT_COUNT: u16 = 20_000;
 
 /// A process that a test started. Dropping it kills the process and removes its data directory.
 #[derive(Debug)]
@@ -305,34 +309,73 @@
     config.timeout_global(Some(REQUEST_TIMEOUT)).build().into()
 }
 
-/// A free loopback port that this process has not handed out before. Another process may still take it.
+/// A free loopback port below the ephemeral range, so that no outgoing connection of any process takes it
+/// before the test binds it. The first port depends on the process id, so that test programs that run at
+/// the same time rarely try the same ones.
 ///
 /// # Errors
 ///
 /// Returns an error when no port can be bound.
 pub fn free_address() -> io::Result<SocketAddr> {
-    static HANDED_OUT: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
-
-    for _ in 0..PORT_ATTEMPTS {
-        let address = TcpListener::bind(("127.0.0.1", 0))?.local_addr()?;
-        let mut known = HANDED_OUT.lock().unwrap_or_else(PoisonError::into_inner);
-        if known.insert(address.port()) {
-            return Ok(address);
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+
+    let first = std::process::id() % u32::from(PORT_COUNT);
+    for _ in 0..PORT_COUNT {
+        let step = u32::from(NEXT.fetch_add(1, Ordering::Relaxed));
+        let offset = (first + step) % u32::from(PORT_COUNT);
+        let port = FIRST_PORT + u16::try_from(offset).unwrap_or(0);
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr();
         }
     }
     Err(io::Error::other("no free loopback port"))
 }
 
-/// Path of a binary of this workspace, found beside the running test binary.
+/// Path of a binary of this workspace with the profile of the running program. In a test it is built
+/// first, since Cargo builds the binaries of other packages only on request.
 ///
 /// # Errors
 ///
-/// Returns an error when the binary has not been built.
+/// Returns an error with the output of Cargo when the build fails, or when the binary does not exist.
 pub fn workspace_binary(name: &str) -> Result<PathBuf> {
-    let test = std::env::current_exe()?;
-    let directories = test.ancestors().skip(1).take(2);
-    let mut candidates = directories.map(|directory| directory.join(name));
-    candidates
-        .find(|path| path.is_file())
-        .with_context(|| format!("{name} is not built; run cargo build --workspace first"))
+    let program = std::env::current_exe()?;
+    let directory = program
+        .parent()
+        .context("the program lies in no directory")?;
+    let is_test = directory.ends_with("deps");
+    let profile_directory = match directory.parent() {
+        Some(parent) if is_test => parent,
+        _ => directory,
+    };
+    if is_test {
+        build_once(name, profile_directory.ends_with("release"))?;
+    }
+    let path = profile_directory.join(name);
+    if !path.is_file() {
+        bail!("{name} is not built; run cargo build --workspace first");
+    }
+    Ok(path)
+}
+
+fn build_once(name: &str, release: bool) -> Result<()> {
+    static BUILT: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
+
+    let mut built = BUILT.lock().unwrap_or_else(PoisonError::into_inner);
+    if built.contains(name) {
+        return Ok(());
+    }
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let mut command = Command::new(cargo);
+    // With `--workspace`, dependencies have the same features as in the build of the test.
+    command.args(["build", "--quiet", "--locked", "--workspace", "--bin", name]);
+    if release {
+        command.arg("--release");
+    }
+    command.current_dir(env!("CARGO_MANIFEST_DIR"));
+    let output = command.output().context("cargo build")?;
+    if !output.status.success() {
+        bail!("{name}: {}", String::from_utf8_lossy(&output.stderr));
+    }
+    built.insert(name.to_owned());
+    Ok(())
 }
