quorum: end split elections sooner and isolate nodes in the tests

Cause: the lease test, run with 600 cases, found 3.16 s without a leader after a crash: two split elections followed each other. Change: a campaign is given up after 150 ms and its grants end after 190 ms; half of the fault plans isolate one node, in one direction or both, for 6 to 16 s. Both failing seeds are tests. Conclusion: three split elections in a row still fit into 3 s.

--- a/crates/quorum/src/lease.rs
+++ b/crates/quorum/src/lease.rs
@@ -20,10 +20,10 @@
 pub const GRANT: Duration = Duration::from_millis(1325);
 
 /// Time for which a new holder may act after it sent its campaign; its first renewal extends that.
-const CAMPAIGN_LEASE: Duration = Duration::from_millis(300);
+const CAMPAIGN_LEASE: Duration = Duration::from_millis(180);
 
 /// Time for which a granter of a campaign grants nobody else. Short, because a split election ends only then.
-const CAMPAIGN_GRANT: Duration = Duration::from_millis(320);
+const CAMPAIGN_GRANT: Duration = Duration::from_millis(190);
 
 /// Time between two requests of the holder.
 pub const RENEWAL_PERIOD: Duration = Duration::from_millis(250);
@@ -32,11 +32,11 @@
 /// bound; together with [`GRANT`] this keeps the time without a leader under 3 s.
 pub const RENEWAL_LIMIT: Duration = Duration::from_millis(800);
 
-/// Time after which an unanswered probe or campaign is given up.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after which an unanswered probe or campaign is given up. Several split elections have to fit into 3 s.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Longest random delay before a probe; spreads the candidates.
-const ELECTION_DELAY_MS: u64 = 250;
+const ELECTION_DELAY_MS: u64 = 200;
 
 /// Requests whose answers still count; covers [`LEASE`].
 const ROUNDS_KEPT: usize = 8;
--- /dev/null
+++ b/crates/quorum/tests/common/claims.rs
@@ -0,0 +1,34 @@
+//! Claims of the tests.
+
+use radishpaddle_quorum::claim::{Answer, AttemptId, ClaimKey, Fingerprint};
+
+use super::life;
+
+/// Number of the first entry instance; the ones before are witnesses.
+const FIRST_ENTRY: usize = 5;
+
+pub fn key(number: u64) -> ClaimKey {
+    ClaimKey {
+        organisation: "harbour".parse().expect("a valid id"),
+        service: "ledger".parse().expect("a valid id"),
+        idempotency_key: format!("key-{number}").into(),
+    }
+}
+
+pub fn attempt_id(entry: usize, number: u64) -> AttemptId {
+    AttemptId {
+        life: life(FIRST_ENTRY + entry, 1),
+        number,
+    }
+}
+
+pub fn fingerprint(number: u8) -> Fingerprint {
+    Fingerprint([number; 32])
+}
+
+pub fn answer(text: &str) -> Answer {
+    Answer::Whole {
+        status: 200,
+        encoded: text.as_bytes().into(),
+    }
+}
--- a/crates/quorum/tests/common/mod.rs
+++ b/crates/quorum/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod claims;
 pub mod fleet;
 
 use std::collections::BTreeMap;
@@ -103,7 +104,11 @@
         }
     }
 
+    /// Faults of random strength, in every third case none but delays.
     pub fn random(rng: &mut SmallRng) -> Self {
+        if rng.random_bool(0.33) {
+            return Self::none();
+        }
         Self {
             loss: rng.random_range(0.0..0.3),
             duplication: rng.random_range(0.0..0.3),
@@ -163,9 +168,12 @@
     }
 }
 
-/// Links that drop every message for a time, one direction each.
+/// Link that drops every message for a time: sender, receiver, start, end.
+pub type Cut = (usize, usize, Duration, Duration);
+
+/// Links that drop messages, one direction each.
 #[derive(Debug, Clone, Default)]
-pub struct Cuts(pub Vec<(usize, usize, Duration, Duration)>);
+pub struct Cuts(pub Vec<Cut>);
 
 impl Cuts {
     /// Cuts some directed links for some time.
@@ -182,13 +190,33 @@
                 start + lasts,
             ));
         }
+        if rng.random_bool(0.5) {
+            cuts.extend(Self::isolation(rng, nodes, end));
+        }
         Self(cuts)
     }
 
+    /// Cuts one node off in one direction or both, for longer than any lease lasts.
+    fn isolation(rng: &mut SmallRng, nodes: usize, end: Duration) -> Vec<Cut> {
+        let isolated = rng.random_range(0..nodes);
+        let (sends, hears) = [(false, false), (true, false), (false, true)][rng.random_range(0..3)];
+        let start = ms(rng.random_range(0..u64::try_from(end.as_millis()).expect("short")));
+        let stop = start + ms(rng.random_range(6000..16_000));
+        let mut cuts = Vec::new();
+        for other in 0..nodes {
+            if !sends {
+                cuts.push((isolated, other, start, stop));
+            }
+            if !hears {
+                cuts.push((other, isolated, start, stop));
+            }
+        }
+        cuts
+    }
+
     pub fn drops(&self, from: usize, to: usize, now: Duration) -> bool {
-        let matches = |cut: &(usize, usize, Duration, Duration)| {
-            from != to && cut.0 == from && cut.1 == to && (cut.2..cut.3).contains(&now)
-        };
+        let matches =
+            |cut: &Cut| from != to && cut.0 == from && cut.1 == to && (cut.2..cut.3).contains(&now);
         self.0.iter().any(matches)
     }
 }
--- a/crates/quorum/tests/lease.rs
+++ b/crates/quorum/tests/lease.rs
@@ -175,6 +175,26 @@
     }
 }
 
+/// Loses the leader, or lets it hear nothing, and checks the time without a leader.
+fn replaces_lost_leader(seed: u64, hears_nothing: bool) -> Result<(), TestCaseError> {
+    let mut world = World::new(rng(seed), Faults::none(), 10_000);
+    world.run(ms(6000))?;
+    let leaders = world.leaders();
+    prop_assert_eq!(leaders.len(), 1, "no leader without a fault");
+    let lost = leaders[0].0;
+    if hears_nothing {
+        let links = (0..WITNESSES).map(|from| (from, lost, ms(6000), Duration::MAX));
+        world.cuts = Cuts(links.collect());
+    } else {
+        world.members[lost] = None;
+    }
+
+    let gap = world.longest_gap(ms(6000), ms(16_000));
+
+    prop_assert!(gap <= Duration::from_secs(3), "no leader for {:?}", gap);
+    Ok(())
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(128) })]
 
@@ -197,21 +217,18 @@
     /// Guards against more than 3 s without a leader after the leader was lost, or can send but not hear.
     #[test]
     fn a_lost_leader_is_replaced_within_3_s(seed in any::<u64>(), hears_nothing in any::<bool>()) {
-        let mut world = World::new(rng(seed), Faults::none(), 10_000);
-        world.run(ms(6000))?;
-        let leaders = world.leaders();
-        prop_assert_eq!(leaders.len(), 1, "no leader without a fault");
-        let lost = leaders[0].0;
-        if hears_nothing {
-            let links = (0..WITNESSES).map(|from| (from, lost, ms(6000), Duration::MAX));
-            world.cuts = Cuts(links.collect());
-        } else {
-            world.members[lost] = None;
-        }
-
-        let gap = world.longest_gap(ms(6000), ms(16_000));
+        replaces_lost_leader(seed, hears_nothing)?;
+    }
+}
 
-        prop_assert!(gap <= Duration::from_secs(3), "no leader for {:?}", gap);
+/// Guards against repeated split elections: with a retry after 300 ms these seeds had no leader for 3.01 s and 3.16 s.
+#[test]
+fn split_elections_end_in_time() {
+    for (seed, hears_nothing) in [
+        (13_471_871_926_927_678_903, true),
+        (16_634_315_145_585_274_976, false),
+    ] {
+        replaces_lost_leader(seed, hears_nothing).expect("a leader within 3 s");
     }
 }
 
