--- a/crates/bench/src/admission.rs
+++ b/crates/bench/src/admission.rs
@@ -39,7 +39,6 @@
         let waiting = WaitingRequest {
             request: id,
             sending,
-            since: now,
         };
         if matches!(admission, Admission::Wait { .. }) {
             self.request_mut(id).phase = Phase::WaitingForRate;
@@ -71,7 +70,7 @@
         };
         let key = rates.keys[service][organisation].clone();
         let holder = &mut rates.holders[instance];
-        let admission = holder.admit_waiting(now, &key, waiting.since);
+        let admission = holder.admit_waiting(now, &key);
         if let Admission::Wait {
             leader_unreachable, ..
         } = admission
@@ -101,6 +100,10 @@
                 self.answer(id, CallerResult::Code(ResultCode::RateExceeded));
                 self.send_urgent(id);
             }
+            Admission::Unavailable => {
+                let code = ResultCode::AllocationUnavailable;
+                self.answer(id, CallerResult::Code(code));
+            }
             Admission::Wait { until, .. } => {
                 let at = until.min(self.requests[&id].deadline).max(self.now);
                 self.schedule.add(at, Event::AskAgain { waiting });
