--- a/crates/bench/src/admission.rs
+++ b/crates/bench/src/admission.rs
@@ -39,7 +39,6 @@
         let waiting = WaitingRequest {
             request: id,
             sending,
-            since: now,
         };
         if matches!(admission, Admission::Wait { .. }) {
             self.request_mut(id).phase = Phase::WaitingForRate;
@@ -102,7 +101,8 @@
                 self.send_urgent(id);
             }
             Admission::Unavailable => {
-                self.answer(id, CallerResult::Code(ResultCode::AllocationUnavailable));
+                let code = ResultCode::AllocationUnavailable;
+                self.answer(id, CallerResult::Code(code));
             }
             Admission::Wait { until, .. } => {
                 let at = until.min(self.requests[&id].deadline).max(self.now);
--- a/crates/bench/src/rate.rs
+++ b/crates/bench/src/rate.rs
@@ -1,7 +1,6 @@
 //! Rate and burst of organisations at the entry instances.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::time::Duration;
 
 use radishpaddle_quorum::Life;
 use radishpaddle_quorum::allocation::{AllocationSettings, Holder, LimitKey};
@@ -37,8 +36,6 @@
     pub request: u64,
     /// Its sending.
     pub sending: u32,
-    /// Time since which it waits.
-    pub since: Duration,
 }
 
 impl Rates {
