Let a test caller choose its entry instances and keep ports free

Cause: callers always asked for addresses, so a test could not resend through a chosen instance. free_address handed out ephemeral ports; an outgoing connection took one before the process bound it (seen: 'starting peers: Address already in use' in one of 14 fleet starts at load 25). Change: CallerSettings::seeds_only uses the seeds in turn; free_address hands out ports below 32768.

--- a/crates/testkit/src/caller/addresses.rs
+++ b/crates/testkit/src/caller/addresses.rs
@@ -5,7 +5,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use anyhow::{Result, bail};
+use anyhow::{Context as _, Result, bail};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode};
@@ -76,6 +76,7 @@
     seeds: Vec<SocketAddr>,
     ask_timeout: Duration,
     loopback_only: bool,
+    seeds_only: bool,
     cache: Mutex<Cache>,
 }
 
@@ -93,12 +94,17 @@
             seeds: settings.seeds.clone(),
             ask_timeout: Duration::from_millis(settings.ask_timeout_ms),
             loopback_only: settings.loopback_only,
+            seeds_only: settings.seeds_only,
             cache: Mutex::default(),
         }
     }
 
     /// Next address in turn; asks again when the answer has expired.
     pub(super) async fn next(&self, key: Option<&str>, host: &str) -> Result<SocketAddr> {
+        if self.seeds_only {
+            let chosen = self.lock().choose(&self.seeds);
+            return chosen.context("no instance to call");
+        }
         if let Some(address) = self.lock().next(host) {
             return Ok(address);
         }
@@ -150,17 +156,23 @@
     }
 
     fn next(&mut self, host: &str) -> Option<SocketAddr> {
-        let now = Instant::now();
-        self.avoided.retain(|_, until| *until > now);
-        let turn = self.next_turn();
         let (addresses, until) = self.answers.get(host)?;
-        if *until <= now {
+        if *until <= Instant::now() {
             return None;
         }
-        let in_turn = |offset: usize| addresses[turn.wrapping_add(offset) % addresses.len()];
-        let mut candidates = (0..addresses.len()).map(in_turn);
-        let usable = candidates.find(|address| !self.avoided.contains_key(address));
-        Some(usable.unwrap_or_else(|| in_turn(0)))
+        let addresses = addresses.clone();
+        self.choose(&addresses)
+    }
+
+    /// The next address in turn that is not avoided; the next one if all are.
+    fn choose(&mut self, addresses: &[SocketAddr]) -> Option<SocketAddr> {
+        let now = Instant::now();
+        self.avoided.retain(|_, until| *until > now);
+        let turn = self.next_turn();
+        let start = turn.checked_rem(addresses.len())?;
+        let mut in_turn = addresses[start..].iter().chain(&addresses[..start]);
+        let usable = in_turn.find(|address| !self.avoided.contains_key(address));
+        usable.or(addresses.get(start)).copied()
     }
 }
 
--- a/crates/testkit/src/caller/mod.rs
+++ b/crates/testkit/src/caller/mod.rs
@@ -50,6 +50,8 @@
     pub ask_timeout_ms: u64,
     /// Refuses address responses that name an address outside the loopback network.
     pub loopback_only: bool,
+    /// Uses the seeds in turn instead of asking for addresses, so that a test chooses the instance.
+    pub seeds_only: bool,
 }
 
 /// A caller of the fleet. It may run any number of operations at the same time.
@@ -73,6 +75,7 @@
             keep_alive_ms: 5_000,
             ask_timeout_ms: 1_000,
             loopback_only: false,
+            seeds_only: false,
         }
     }
 
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -1,6 +1,5 @@
 //! Real binaries of this repository in tests: start, signal, wait for readiness, capture output.
 
-use std::collections::BTreeSet;
 use std::fs::File;
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener};
@@ -22,9 +21,18 @@
 /// Bytes of the log that an error message shows.
 const LOG_TAIL_BYTES: usize = 4_096;
 
-/// Attempts to find a port that this process has not handed out before.
+/// Ports that are tried before a test gives up.
 const PORT_ATTEMPTS: usize = 1_000;
 
+/// First port that is handed out.
+const FIRST_PORT: u16 = 10_000;
+
+/// Number of ports that are handed out; Linux gives ports from 32768 on to outgoing connections.
+const PORTS: u16 = 22_000;
+
+/// Ports between the first ones of two processes with neighbouring ids.
+const PORTS_PER_PROCESS: u32 = 397;
+
 /// A process that a test started. Dropping it kills the process and removes its data directory.
 #[derive(Debug)]
 pub struct TestProcess {
@@ -305,19 +313,24 @@
     config.timeout_global(Some(REQUEST_TIMEOUT)).build().into()
 }
 
-/// A free loopback port that this process has not handed out before. Another process may still take it.
+/// A free loopback port that this process has not handed out before. It lies below the ports that the
+/// system gives to outgoing connections, one of which could otherwise take it before it is bound again.
+/// Another process that calls this function may still take it.
 ///
 /// # Errors
 ///
 /// Returns an error when no port can be bound.
 pub fn free_address() -> io::Result<SocketAddr> {
-    static HANDED_OUT: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+    static NEXT: Mutex<Option<u32>> = Mutex::new(None);
 
+    let mut next = NEXT.lock().unwrap_or_else(PoisonError::into_inner);
     for _ in 0..PORT_ATTEMPTS {
-        let address = TcpListener::bind(("127.0.0.1", 0))?.local_addr()?;
-        let mut known = HANDED_OUT.lock().unwrap_or_else(PoisonError::into_inner);
-        if known.insert(address.port()) {
-            return Ok(address);
+        // Processes start at different places, so that two test binaries rarely try the same port.
+        let offset = next.unwrap_or_else(|| std::process::id().wrapping_mul(PORTS_PER_PROCESS));
+        *next = Some(offset.wrapping_add(1));
+        let port = FIRST_PORT + u16::try_from(offset % u32::from(PORTS)).unwrap_or(0);
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr();
         }
     }
     Err(io::Error::other("no free loopback port"))
