Run a fault matrix against fleets of real processes

Cause: one end-to-end test covered a planned stop and a withdrawal; no test joined faults of backend servers, links, instances and control with a recorded history. Fault found: without a fault and far below its rate one organisation with 24 callers is refused with 2005 (6 of 616 requests) and held for 300 to 700 ms before the dispatch; the same with a rate of 20000/s, and not with 4 callers or with 8 organisations of 3 callers. Conclusion: the ejection cells use 8 organisations, so that this fault does not starve them of load.

--- a/crates/e2e/src/fleet.rs
+++ b/crates/e2e/src/fleet.rs
@@ -15,7 +15,9 @@
 use radishpaddle_kernel::CommonSettings;
 use radishpaddle_model::{AvailabilityZone, InstanceId};
 use radishpaddle_testkit::backend::{self, BackendSettings, RunningBackend};
-use radishpaddle_testkit::fault_proxy::{self, FaultProxySettings, RunningFaultProxy};
+use radishpaddle_testkit::fault_proxy::{
+    self, FaultProxySettings, Loss, ProxyPlan, RunningFaultProxy,
+};
 use radishpaddle_testkit::process::{ProcessBuilder, TestProcess, free_address, workspace_binary};
 use sha2::{Digest, Sha256};
 
@@ -66,6 +68,9 @@
     plan: FleetPlan,
     nodes: BTreeMap<Node, Running>,
     links: BTreeMap<(Node, Node), RunningFaultProxy>,
+    /// In front of the caller address of each entry instance and the peer address of each control
+    /// instance; these are the addresses that the processes advertise.
+    fronts: BTreeMap<Node, RunningFaultProxy>,
     backends: Vec<RunningBackend>,
     backend_proxies: Vec<RunningFaultProxy>,
 }
@@ -79,10 +84,12 @@
     pub async fn start(plan: FleetPlan) -> Result<Self> {
         let ports = allocate_ports(&plan)?;
         let links = start_links(&plan, &ports).await?;
+        let fronts = start_fronts(&ports).await?;
         let mut fleet = Self {
             plan,
             nodes: BTreeMap::new(),
             links,
+            fronts,
             backends: Vec::new(),
             backend_proxies: Vec::new(),
         };
@@ -90,7 +97,7 @@
             let running = fleet.spawn(*node, *ports)?;
             fleet.nodes.insert(*node, running);
         }
-        fleet.wait_ready(START_TIMEOUT)?;
+        tokio::task::block_in_place(|| fleet.wait_ready(START_TIMEOUT))?;
         fleet.start_backends().await?;
         Ok(fleet)
     }
@@ -107,10 +114,22 @@
     #[must_use]
     pub fn caller_addresses(&self) -> Vec<SocketAddr> {
         (0..self.plan.entries)
-            .map(|entry| self.ports(Node::Entry(entry)).front)
+            .map(|entry| self.front(Node::Entry(entry)).address())
             .collect()
     }
 
+    /// Address of the operator API of a control instance.
+    #[must_use]
+    pub fn operator_address(&self, control: usize) -> SocketAddr {
+        self.ports(Node::Control(control)).front
+    }
+
+    /// What the fleet consists of.
+    #[must_use]
+    pub const fn plan(&self) -> &FleetPlan {
+        &self.plan
+    }
+
     /// Admin address of a process.
     #[must_use]
     pub fn admin_address(&self, node: Node) -> SocketAddr {
@@ -127,6 +146,44 @@
         self.links.get(&(from, to)).expect("the link exists")
     }
 
+    /// Fault proxy through which callers reach an entry instance, or all other processes reach a
+    /// control instance.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there is no such node.
+    #[must_use]
+    pub fn front(&self, node: Node) -> &RunningFaultProxy {
+        self.fronts.get(&node).expect("the node exists")
+    }
+
+    /// Loses everything that one process sends to another, requests and responses, until
+    /// [`Self::heal`]. The other direction works. Bytes arrive late after the heal, as TCP sends
+    /// them again.
+    pub fn lose(&self, from: Node, to: Node) {
+        if let Some(link) = self.links.get(&(from, to)) {
+            link.change(|plan| plan.to_target.loss = Loss::Stall);
+        }
+        if let Some(link) = self.links.get(&(to, from)) {
+            link.change(|plan| plan.to_client.loss = Loss::Stall);
+        }
+    }
+
+    /// Loses everything that others send to a control instance on connections that they open. What it
+    /// sends arrives.
+    pub fn isolate_incoming(&self, node: Node) {
+        self.front(node)
+            .change(|plan| plan.to_target.loss = Loss::Stall);
+    }
+
+    /// Ends every fault on the links and fronts between processes and in front of backend servers.
+    pub fn heal(&self) {
+        let links = self.links.values().chain(self.fronts.values());
+        for proxy in links.chain(&self.backend_proxies) {
+            proxy.set_plan(ProxyPlan::default());
+        }
+    }
+
     /// Fault proxies on every link that touches a process.
     pub fn links_of(&self, node: Node) -> impl Iterator<Item = &RunningFaultProxy> {
         let touches = move |(from, to): &(Node, Node)| *from == node || *to == node;
@@ -169,6 +226,20 @@
             .restart(&running.program, &running.arguments)
     }
 
+    /// Kills a control instance and starts it with an empty data directory.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the directory cannot be removed or the process not started.
+    pub fn replace_disk(&mut self, control: usize) -> Result<()> {
+        let process = self.process(Node::Control(control));
+        if process.try_wait()?.is_none() {
+            process.kill()?;
+        }
+        std::fs::remove_dir_all(process.directory().join("data"))?;
+        self.restart(Node::Control(control))
+    }
+
     /// Waits until one process is ready.
     ///
     /// # Errors
@@ -223,9 +294,9 @@
             common: self.common(name.parse()?, zone(control)?, ports.admin),
             operator_listen: ports.front,
             peer_listen: ports.peers,
-            peer_advertise: None,
+            peer_advertise: Some(self.front(Node::Control(control)).address()),
             data_directory: builder.directory().join("data"),
-            controls: self.control_peers(control, ports.peers),
+            controls: self.control_peers(),
             witnesses: self
                 .witness_nodes()
                 .map(|(entry, node)| {
@@ -283,7 +354,10 @@
                 backend_servers: ports.backends,
                 peers: ports.peers,
             },
-            advertise: AdvertiseSettings::default(),
+            advertise: AdvertiseSettings {
+                callers: Some(self.front(own).address()),
+                peers: None,
+            },
             witnesses,
             backend_token: BACKEND_TOKEN.into(),
             limits: LimitSettings::default(),
@@ -300,17 +374,10 @@
         })
     }
 
-    /// The own address and the links to the other control instances.
-    fn control_peers(&self, control: usize, own: SocketAddr) -> Vec<SocketAddr> {
+    /// Advertised addresses of all control instances.
+    fn control_peers(&self) -> Vec<SocketAddr> {
         (0..self.plan.controls)
-            .map(|other| {
-                if other == control {
-                    own
-                } else {
-                    self.link(Node::Control(control), Node::Control(other))
-                        .address()
-                }
-            })
+            .map(|control| self.front(Node::Control(control)).address())
             .collect()
     }
 
@@ -346,7 +413,7 @@
             let proxy = fault_proxy::spawn(FaultProxySettings::new(listen)).await?;
             let settings = BackendSettings {
                 listen,
-                announced_address: Some(proxy.address()),
+                announced_address: self.plan.backend_proxies.then(|| proxy.address()),
                 entries: entries.clone(),
                 token: BACKEND_TOKEN.to_owned(),
                 slots: self.plan.slots,
@@ -388,8 +455,7 @@
         for (to, target) in ports {
             let called = match (from, to) {
                 (_, Node::Entry(entry)) => *entry < plan.witnesses(),
-                (Node::Control(_), Node::Control(_)) => true,
-                (Node::Entry(_), Node::Control(_)) => false,
+                (_, Node::Control(_)) => false,
             };
             if from != to && called {
                 let proxy = fault_proxy::spawn(FaultProxySettings::new(target.peers)).await?;
@@ -400,6 +466,20 @@
     Ok(links)
 }
 
+/// A fault proxy in front of each process, for the address that it advertises.
+async fn start_fronts(ports: &BTreeMap<Node, Ports>) -> Result<BTreeMap<Node, RunningFaultProxy>> {
+    let mut fronts = BTreeMap::new();
+    for (node, ports) in ports {
+        let target = match node {
+            Node::Control(_) => ports.peers,
+            Node::Entry(_) => ports.front,
+        };
+        let proxy = fault_proxy::spawn(FaultProxySettings::new(target)).await?;
+        fronts.insert(*node, proxy);
+    }
+    Ok(fronts)
+}
+
 fn found(program: &std::path::Path, settings: &str) -> Result<()> {
     let mut process = ProcessBuilder::new("found", program)?
         .argument("--found")
--- a/crates/e2e/src/operator.rs
+++ b/crates/e2e/src/operator.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::process::Command;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use anyhow::{Context as _, Result, bail};
@@ -49,7 +50,10 @@
     ///
     /// Fails when the submission is refused or not in force in time.
     pub fn put(&self, document: &ServiceDocument) -> Result<String> {
-        let name = format!("radishpaddle-document-{}.json", std::process::id());
+        // Tests of one binary run at the same time, so the process id alone is not unique.
+        static FILES: AtomicU64 = AtomicU64::new(0);
+        let number = FILES.fetch_add(1, Ordering::Relaxed);
+        let name = format!("radishpaddle-document-{}-{number}.json", std::process::id());
         let file = std::env::temp_dir().join(name);
         std::fs::write(&file, serde_json::to_string(document)?)?;
         let printed = self.run(&["put", &file.display().to_string()]);
--- a/crates/e2e/src/plan.rs
+++ b/crates/e2e/src/plan.rs
@@ -15,6 +15,11 @@
 /// Availability zones; instances take turns.
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
+/// Organisations of the document.
+pub const ORGANISATIONS: [&str; 8] = [
+    "north", "south", "east", "west", "spring", "summer", "autumn", "winter",
+];
+
 /// Size of a fleet and its timing.
 #[derive(Debug, Clone)]
 pub struct FleetPlan {
@@ -24,10 +29,16 @@
     pub entries: usize,
     /// Backend servers.
     pub backends: usize,
+    /// Whether entry instances reach the backend servers through fault proxies.
+    pub backend_proxies: bool,
     /// Requests that a backend server runs at the same time.
     pub slots: u32,
     /// Service time of the backend servers.
     pub service_time_ms: f64,
+    /// Organisations that get a key, at most as many as the document has.
+    pub organisations: usize,
+    /// Rate and burst of each organisation.
+    pub limit: (f64, u32),
     /// Periods and lifetimes of the entry instances.
     pub timing: TimingSettings,
     /// Log specification of the processes.
@@ -42,8 +53,11 @@
             controls: 1,
             entries: 3,
             backends: 4,
+            backend_proxies: true,
             slots: 6,
             service_time_ms: 5.0,
+            organisations: 2,
+            limit: (2_000.0, 500),
             timing: TimingSettings {
                 address_lifetime_ms: 1_000,
                 keep_alive_ms: 1_000,
@@ -84,7 +98,7 @@
     ZONES[number % ZONES.len()].parse().context("zone name")
 }
 
-/// Document of the service with two organisations, `north` and `south`.
+/// Document of the service with the [`ORGANISATIONS`].
 ///
 /// # Errors
 ///
@@ -102,7 +116,7 @@
             {"name": "about", "path_prefix": "/about", "methods": ["GET"], "access": "open",
              "idempotent": true, "timeout_ms": 1000},
         ],
-        "organisations": [organisation("north"), organisation("south")],
+        "organisations": ORGANISATIONS.map(organisation),
         "floor_percent": 50,
         "objective": {"success_percent": 99.0, "latency_ms": 1000},
     });
--- a/crates/e2e/src/traffic.rs
+++ b/crates/e2e/src/traffic.rs
@@ -1,7 +1,6 @@
 //! Callers that send mixed requests while a test disturbs the fleet.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -16,6 +15,9 @@
 
 use crate::plan::{HOST, SERVICE};
 
+/// Number of the next operation, unique in the process so that several runs may share a recorder.
+static NUMBERS: AtomicU64 = AtomicU64::new(1);
+
 /// Callers in the background. Stop them before the history is read.
 pub struct Traffic {
     recorder: Recorder,
@@ -51,6 +53,15 @@
         }
     }
 
+    /// No callers yet; they write to a recorder that others use as well.
+    #[must_use]
+    pub fn recording(recorder: Recorder) -> Self {
+        Self {
+            recorder,
+            ..Self::new()
+        }
+    }
+
     /// Starts the callers of one organisation.
     ///
     /// # Errors
@@ -63,15 +74,13 @@
             ..CallerSettings::new(seeds.to_vec())
                 .with_key(plan.organisation.clone(), plan.key.clone())
         };
-        let numbers = Arc::new(AtomicU64::new(1));
         for _ in 0..plan.callers {
             let caller = Caller::new(settings.clone(), Some(self.recorder.clone()));
             let (plan, stop) = (plan.clone(), self.stop.clone());
-            let numbers = Arc::clone(&numbers);
             let service = SERVICE.parse()?;
             self.tasks.spawn(async move {
                 while !stop.is_cancelled() {
-                    let number = numbers.fetch_add(1, Ordering::Relaxed);
+                    let number = NUMBERS.fetch_add(1, Ordering::Relaxed);
                     let action = plan.action_every > 0 && number.is_multiple_of(plan.action_every);
                     let id = format!("{}-{number}", plan.organisation);
                     let operation = operation(&service, id, action);
