Generate the fault matrix page from a table in code

Change: matrix.rs with its rows, a binary that prints docs/fault-matrix.md, and a test that compares the page with the table and the named tests with the test files; a slow cell for a flapping server.

--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -3,6 +3,9 @@
 
 pub mod control_client;
 pub mod fleet;
+pub mod matrix;
+mod matrix_changes;
+mod matrix_requests;
 pub mod observer;
 pub mod operator;
 pub mod plan;
--- a/crates/e2e/tests/backend_faults.rs
+++ b/crates/e2e/tests/backend_faults.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use radishpaddle_e2e::scenario::{action, again, eventually, is_answer, lookup, unique};
-use radishpaddle_e2e::{FleetPlan, Scenario};
+use radishpaddle_e2e::{FleetPlan, Scenario, full_matrix};
 use radishpaddle_testkit::backend::FaultPlan;
 use radishpaddle_testkit::caller::{Caller, Operation, Told};
 
@@ -98,6 +98,37 @@
     scenario.assert_guarantees();
 }
 
+/// Guards against a backend server that becomes slow again after each return and takes requests as
+/// often as one that failed once.
+#[tokio::test(flavor = "multi_thread")]
+async fn flapping_server_stays_out_longer() {
+    if !full_matrix("a flapping backend server") {
+        return;
+    }
+    let scenario = Scenario::start(half_load()).await.unwrap();
+    let traffic = scenario.traffic(3, 40, 2).unwrap();
+    tokio::time::sleep(WARM_UP).await;
+    let mut times_out = Vec::new();
+    for _ in 0..3 {
+        scenario.backend(0).set_faults(FaultPlan {
+            slow_factor: 10.0,
+            ..FaultPlan::default()
+        });
+        let ejected = eventually("ejected", EJECTION_LIMIT, || scenario.is_out(0, 0)).await;
+        ejected.unwrap_or_else(|error| panic!("{error}\n{}", scenario.trace("probe")));
+        scenario.set_all_faults(&FaultPlan::default());
+        // The probation doubles from 5 s; the third one is 20 s.
+        let limit = Duration::from_secs(30);
+        let back = eventually("back", limit, || !scenario.is_out(0, 0)).await;
+        times_out.push(back.unwrap());
+    }
+    traffic.stop().await;
+
+    eprintln!("times out of rotation: {times_out:?}");
+    assert!(times_out[2] > times_out[0] * 2, "{times_out:?}");
+    scenario.assert_guarantees();
+}
+
 /// Guards against cut, wrongly framed, hanging and late responses that reach a caller as complete,
 /// and against actions that run twice when such a response is followed by a resend.
 #[tokio::test(flavor = "multi_thread")]
