--- a/crates/bench/src/figures.rs
+++ b/crates/bench/src/figures.rs
@@ -8,7 +8,8 @@
 use crate::number::{float, ratio};
 
 /// Figures of one organisation at one service in one run.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct OrganisationFigures {
     /// Service.
     pub service: String,
@@ -58,7 +59,8 @@
 }
 
 /// Detection over several seeds.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Detection {
     /// Runs in which the faulty server was out of rotation before the fault ended.
     pub detected: usize,
@@ -71,7 +73,8 @@
 }
 
 /// Organisation with the lowest service, and its run.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct WorstServed {
     /// Seed of the run.
     pub seed: u64,
@@ -84,7 +87,8 @@
 }
 
 /// Figures of one policy and one fault over several seeds.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Figures {
     /// Detection at the larger service.
     pub detection_large: Option<Detection>,
--- a/crates/bench/src/load/report.rs
+++ b/crates/bench/src/load/report.rs
@@ -9,7 +9,8 @@
 use super::stats::{Group, GroupKey, Stats};
 
 /// Result of a run.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub struct Report {
     /// Requests that the schedule held.
     pub scheduled: u64,
@@ -23,7 +24,8 @@
 }
 
 /// Result of one organisation at one service.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub struct GroupReport {
     /// Organisation that called.
     pub organisation: String,
@@ -42,7 +44,8 @@
 }
 
 /// Quantiles in milliseconds.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 #[expect(clippy::struct_field_names, reason = "fields carry their unit")]
 pub struct Quantiles {
     /// Median.
--- a/crates/bench/src/load/settings.rs
+++ b/crates/bench/src/load/settings.rs
@@ -13,7 +13,8 @@
 const MAX_REQUESTS: u64 = 50_000_000;
 
 /// Settings of one run.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LoadSettings {
     /// Instances to ask for addresses.
@@ -35,7 +36,8 @@
 }
 
 /// Requests of one organisation to one service.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Stream {
     /// Organisation that calls.
@@ -68,7 +70,8 @@
 }
 
 /// Distribution of the time between two arrivals.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Arrivals {
     /// Independent arrivals.
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -14,7 +14,8 @@
 use crate::user::User;
 
 /// One row of a table.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Row {
     /// User.
     pub user: &'static str,
--- a/crates/capacity/src/slopes.rs
+++ b/crates/capacity/src/slopes.rs
@@ -6,7 +6,8 @@
 /// Cost of the control traffic per unit of what causes it.
 ///
 /// Bytes are those of the encoded messages. Microseconds are processor time of one core.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Slopes {
     /// Poll and its answer without changes.
--- a/crates/consensus/src/codec.rs
+++ b/crates/consensus/src/codec.rs
@@ -3,7 +3,8 @@
 use thiserror::Error;
 
 /// The bytes do not decode.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Error)]
 #[error("malformed consensus message, entry or snapshot")]
 pub struct DecodeError;
 
--- a/crates/consensus/src/error.rs
+++ b/crates/consensus/src/error.rs
@@ -5,7 +5,8 @@
 use crate::entry::ReplicaId;
 
 /// A proposal, read or transfer was not taken. Nothing was done.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Error)]
 pub enum ProposeError {
     /// Another replica leads, or none.
     #[error("this replica is not the leader")]
@@ -45,7 +46,8 @@
 }
 
 /// A snapshot cannot be taken at this position.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Error)]
 pub enum CompactError {
     /// The index is not applied, or is at or before the newest snapshot.
     #[error("no snapshot can be taken at index {0}")]
@@ -56,7 +58,8 @@
 }
 
 /// The persisted state or the configuration does not fit together.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Error)]
 pub enum StartError {
     /// A value of [`crate::Config`] is outside its range.
     #[error("the consensus configuration has a value outside its range")]
--- a/crates/consensus/src/submissions.rs
+++ b/crates/consensus/src/submissions.rs
@@ -34,7 +34,8 @@
 const FORMAT: u32 = 1;
 
 /// One change as an operator submits it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Submission {
     /// Chosen by the operator; a resend carries the same id.
     pub id: SubmissionId,
@@ -45,7 +46,8 @@
 }
 
 /// What became of a submission.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "result", rename_all = "snake_case")]
 pub enum SubmissionResult {
     /// The change is committed.
@@ -69,7 +71,8 @@
 }
 
 /// The entry or snapshot cannot be read by this version of the program.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum StateError {
     /// The bytes are not what was encoded.
     #[error("malformed submission or snapshot: {0}")]
@@ -80,7 +83,8 @@
 }
 
 /// Result of a submission, with what recognises a resend.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct StoredResult {
     /// First 128 bits of the SHA-256 of the submission.
     fingerprint: [u64; 2],
--- a/crates/control/src/control_state.rs
+++ b/crates/control/src/control_state.rs
@@ -8,7 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 /// One entry of the replicated log.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LogCommand {
     /// An operator's submission.
@@ -19,7 +20,8 @@
 
 /// Witnesses that form a generation, each in the life in which it takes part from the start. A later
 /// life has lost its memory and recovers from the others.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct GenerationRecord {
     /// The group.
     pub group: WitnessGroup,
--- a/crates/control/src/diff.rs
+++ b/crates/control/src/diff.rs
@@ -4,7 +4,8 @@
 use serde_json::Value;
 
 /// One field that differs.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Difference {
     /// Path of the field.
     pub field: String,
--- a/crates/control/src/operator_api.rs
+++ b/crates/control/src/operator_api.rs
@@ -92,7 +92,8 @@
 }
 
 /// Body of `POST /v1/keys`.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct GiveKey {
     key_id: KeyId,
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -10,7 +10,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Settings file of `radishpaddle-control`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ControlSettings {
     /// What every program has.
@@ -39,7 +40,8 @@
 }
 
 /// One witness.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WitnessAddress {
     /// Instance that is the witness.
@@ -49,7 +51,8 @@
 }
 
 /// One operator.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct OperatorSettings {
     /// Name in the journal.
--- a/crates/e2e/src/matrix_changes.rs
+++ b/crates/e2e/src/matrix_changes.rs
@@ -138,6 +138,16 @@
         )],
         otherwise: "the restart is placed between changes",
     },
+    Row {
+        kind: Kind::Change,
+        fault: "restore of control from an export, then restart of all witnesses",
+        guarantees: "P4, P8, P11",
+        covered: &[(
+            Step::AfterSync,
+            "restore::restored_control_reaches_running_witnesses_and_no_action_runs_again",
+        )],
+        otherwise: "the restore is placed between changes",
+    },
     Row {
         kind: Kind::Pair,
         fault: "witness leader killed, backend server slow",
--- a/crates/entry/src/addresses.rs
+++ b/crates/entry/src/addresses.rs
@@ -21,13 +21,15 @@
     lifetime: Duration,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct AddressAnswer {
     lifetime_ms: u64,
     addresses: Vec<AddressEntry>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct AddressEntry {
     address: std::net::SocketAddr,
     instance: InstanceId,
--- a/crates/entry/src/admission_task.rs
+++ b/crates/entry/src/admission_task.rs
@@ -110,6 +110,7 @@
                 },
                 _ = ticks.tick() => self.tick(),
             }
+            self.send_urgent();
         }
     }
 
@@ -159,9 +160,16 @@
                 self.waiting.entry(key).or_default().push_back(waiting);
             }
         }
-        let fresh = self.fleet.borrow().is_fresh(now);
-        let urgent = fresh.then(|| self.holder.take_urgent(now)).flatten();
-        if let Some(request) = urgent {
+    }
+
+    /// Asks for tokens that waiting requests need. A new leader relies on the witnesses knowing every
+    /// holder, which freshness proves.
+    fn send_urgent(&mut self) {
+        let now = self.clock.now();
+        if !self.fleet.borrow().is_fresh(now) {
+            return;
+        }
+        if let Some(request) = self.holder.take_urgent(now) {
             self.send(request);
         }
     }
@@ -175,7 +183,6 @@
         if let Some(leader) = leader {
             self.holder.set_leader(leader);
         }
-        // A new leader relies on the witnesses knowing every holder, which freshness proves.
         if fresh && let Some(request) = self.holder.tick(now) {
             self.send(request);
         }
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -53,7 +53,8 @@
 }
 
 /// An answer as it is kept by the witnesses.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 struct EncodedAnswer {
     headers: Vec<(String, Vec<u8>)>,
     body: Vec<u8>,
--- a/crates/entry/src/config_store.rs
+++ b/crates/entry/src/config_store.rs
@@ -13,7 +13,8 @@
 const KEPT_CHANGES: usize = 2_000;
 
 /// A configuration from a peer cannot be applied.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum ApplyError {
     /// The bytes are not what they should be.
     #[error("configuration is malformed: {0}")]
--- a/crates/entry/src/service_task.rs
+++ b/crates/entry/src/service_task.rs
@@ -110,7 +110,8 @@
 }
 
 /// What an operator sees of a service on this instance.
-#[derive(Debug, Clone, serde::Serialize)]
+#[derive(Debug, Clone)]
+#[derive(serde::Serialize)]
 pub struct ServiceStatus {
     /// Requests that wait for a backend server.
     pub queued: usize,
@@ -121,7 +122,8 @@
 }
 
 /// What an operator sees of a backend server on this instance.
-#[derive(Debug, Clone, serde::Serialize)]
+#[derive(Debug, Clone)]
+#[derive(serde::Serialize)]
 pub struct ServerStatus {
     /// Name.
     pub backend_server: String,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -11,7 +11,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Settings file of `radishpaddle-entry`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EntrySettings {
     /// What every program has.
@@ -34,7 +35,8 @@
 }
 
 /// Addresses that are bound.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ListenSettings {
     /// Callers.
@@ -46,7 +48,8 @@
 }
 
 /// Addresses that others use, where they differ from the bound ones.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct AdvertiseSettings {
     /// Address for callers; needed when the bound one is unspecified.
@@ -54,7 +57,8 @@
 }
 
 /// One witness.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WitnessSettings {
     /// Instance that is the witness.
@@ -66,7 +70,8 @@
 }
 
 /// Limits on callers and backend servers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LimitSettings {
     /// Open connections of callers.
@@ -90,7 +95,8 @@
 }
 
 /// Periods and lifetimes.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct TimingSettings {
     /// Period of polls to the witnesses.
--- a/crates/entry/src/sync_message.rs
+++ b/crates/entry/src/sync_message.rs
@@ -8,7 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Sent every 250 ms.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SyncRequest {
     /// Sender.
     pub life: Life,
@@ -25,7 +26,8 @@
 }
 
 /// Answer to a [`SyncRequest`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SyncReply {
     /// Epoch of the leader.
     pub epoch: Epoch,
@@ -41,7 +43,8 @@
 
 /// Backend servers crashed with requests in flight. Crashes that were found together are reported
 /// together: after the first of two reports the leader would give out a ticket for the request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CrashReport {
     /// Reporting instance.
     pub life: Life,
@@ -50,7 +53,8 @@
 }
 
 /// Asks for the ticket of a suspect request, or reports its end.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum TicketRequest {
     /// Asks for the ticket.
     Ask {
--- a/crates/kernel/src/journal.rs
+++ b/crates/kernel/src/journal.rs
@@ -9,7 +9,8 @@
 use crate::incarnation::unix_ms;
 
 /// One decision or observation that an operator may ask about.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Event {
     /// Position in the journal of the process, from 1.
     pub sequence: u64,
--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -19,7 +19,8 @@
 }
 
 /// Settings that every long-running program has.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct CommonSettings {
     /// Name of the fleet; peers of another fleet are refused.
@@ -45,7 +46,8 @@
 }
 
 /// Certificate files in PEM format.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PeerTlsSettings {
     /// Certificate of the fleet's certificate authority.
@@ -116,7 +118,8 @@
 }
 
 /// A settings file cannot be used.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum SettingsError {
     /// The file cannot be read.
     #[error("{}: cannot be read: {cause}", file.display())]
--- a/crates/model/src/announcement.rs
+++ b/crates/model/src/announcement.rs
@@ -7,7 +7,8 @@
 use crate::id::{AvailabilityZone, BackendServerId, Incarnation, ServiceId};
 
 /// Body of `POST /v1/backend-servers/announce`; repeated to renew.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Announcement {
     /// Service that the backend server runs.
@@ -29,7 +30,8 @@
 }
 
 /// Whether a backend server takes new work. Within one incarnation the state only moves forward.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum BackendState {
     /// Takes new work.
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -10,7 +10,8 @@
 use crate::key::KeyHash;
 
 /// State of the configuration at one revision.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct FleetConfig {
     /// Revision of the newest change that is applied.
     pub revision: Revision,
@@ -21,7 +22,8 @@
 }
 
 /// A document with the revision at which it was accepted.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ServiceEntry {
     /// Revision that a next submission has to name as the one it replaces.
     pub revision: Revision,
@@ -30,7 +32,8 @@
 }
 
 /// A key that is in force.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct KeyRecord {
     /// Public name of the key.
     pub key_id: KeyId,
@@ -39,7 +42,8 @@
 }
 
 /// One accepted change of the configuration.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "change", rename_all = "snake_case")]
 pub enum Change {
     /// Adds or replaces a document.
@@ -69,7 +73,8 @@
 }
 
 /// A change with its revision.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ChangeRecord {
     /// Revision that the change leads to.
     pub revision: Revision,
--- a/crates/model/src/document.rs
+++ b/crates/model/src/document.rs
@@ -19,7 +19,8 @@
 pub const OPEN_ORGANISATION: &str = "open";
 
 /// One service as its team describes it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceDocument {
     /// Name of the service.
@@ -46,7 +47,8 @@
 }
 
 /// One route of a service.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Route {
     /// Name in reports, unique within the service.
@@ -70,7 +72,8 @@
 }
 
 /// Who may call a route.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Access {
     /// Organisations of the document, by key.
@@ -80,7 +83,8 @@
 }
 
 /// Limit of one organisation at one service, for the whole fleet.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct OrganisationLimit {
     /// The organisation.
@@ -92,7 +96,8 @@
 }
 
 /// Budget for repeated requests.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct RetryPolicy {
     /// Attempts of one request, the first included.
@@ -104,7 +109,8 @@
 }
 
 /// Service-level objective.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Objective {
     /// Part of the requests that must be answered in time.
@@ -114,7 +120,8 @@
 }
 
 /// A field of a document is outside what is allowed.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Error)]
 #[error("{field} is {value}; allowed: {allowed}")]
 pub struct DocumentError {
     /// Path of the field.
--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -11,7 +11,8 @@
 pub const MAX_ID_BYTES: usize = 64;
 
 /// The text is not an identifier.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Error)]
 #[error("{kind} {value:?} is not 1 to {MAX_ID_BYTES} characters out of a-z A-Z 0-9 . _ -")]
 pub struct ParseIdError {
     kind: &'static str,
--- a/crates/model/src/key.rs
+++ b/crates/model/src/key.rs
@@ -19,13 +19,13 @@
 pub struct OrganisationKey(Box<str>);
 
 /// SHA-256 of an organisation key; text form is 64 lower-case hexadecimal digits.
-#[derive(
-    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
-)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(SerializeDisplay, DeserializeFromStr)]
 pub struct KeyHash([u8; 32]);
 
 /// The text is not a key or not a key hash.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Error)]
 pub enum ParseKeyError {
     /// Length or characters of the key are not allowed.
     #[error("a key has {MIN_KEY_BYTES} to {MAX_KEY_BYTES} visible ASCII characters")]
--- a/crates/model/src/result_code.rs
+++ b/crates/model/src/result_code.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What a refusal says about the execution of the request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
     /// The request was answered by a backend server, or a submission was carried out.
@@ -157,7 +158,8 @@
 }
 
 /// JSON body of every refusal.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Refusal {
     /// Number of the result code.
     pub code: u16,
--- a/crates/model/src/unit.rs
+++ b/crates/model/src/unit.rs
@@ -7,7 +7,8 @@
 use thiserror::Error;
 
 /// The text or number is outside the range of the unit.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Error)]
 #[error("{value:?} is not {expected}")]
 pub struct ParseUnitError {
     value: String,
@@ -15,17 +16,20 @@
 }
 
 /// Requests per second; finite and not negative.
-#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "f64", into = "f64")]
 pub struct RatePerSecond(f64);
 
 /// Number of bytes. The text form takes the suffixes `KiB`, `MiB` and `GiB`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct ByteSize(pub u64);
 
 /// A percentage from 0 to 100.
-#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "f64", into = "f64")]
 pub struct Percent(f64);
 
--- a/crates/policy/src/evidence.rs
+++ b/crates/policy/src/evidence.rs
@@ -16,7 +16,8 @@
 pub const MAX_CELLS: usize = 4096;
 
 /// How a dispatched request ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Completion {
     /// Complete response; statuses from 500 count as errors.
     Answered {
@@ -43,7 +44,8 @@
 
 /// Evidence of one entry instance about one backend server and request class over one drain
 /// period. Counts are of the period; `in_flight` is the state at its end.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Cell {
     /// The backend server.
     pub server: ServerKey,
--- a/crates/policy/src/key.rs
+++ b/crates/policy/src/key.rs
@@ -12,17 +12,20 @@
 use serde::{Deserialize, Serialize};
 
 /// A backend server of a service, stable over restarts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct ServerKey(pub u64);
 
 /// A service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct ServiceKey(pub u64);
 
 /// A kind of request whose service times are comparable, usually one route of a service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct RequestClass(pub u32);
 
--- a/crates/policy/src/latency.rs
+++ b/crates/policy/src/latency.rs
@@ -12,7 +12,8 @@
 pub const BUCKETS_PER_DOUBLING: f64 = 4.0;
 
 /// Number of requests with a time in one bucket.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct BucketCount {
     /// Index of the bucket, below [`BUCKETS`].
     pub bucket: u8,
@@ -21,7 +22,8 @@
 }
 
 /// Counts in the buckets that are in use, ordered by bucket.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Histogram(pub Vec<BucketCount>);
 
--- a/crates/policy/src/leader.rs
+++ b/crates/policy/src/leader.rs
@@ -21,7 +21,8 @@
 const PATH_FAULT_LIFE: Duration = Duration::from_secs(5);
 
 /// What an entry instance sends to the leader every 250 ms.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct HealthReport {
     /// Availability zone of the instance. Without it, a partition between zones can be taken for
     /// faults of the servers.
@@ -36,7 +37,8 @@
 }
 
 /// What the leader answers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct HealthResponse {
     /// Verdicts ([`crate::VerdictView::apply`]).
     pub update: VerdictUpdate,
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -29,7 +29,8 @@
 pub const MAX_ENTRIES: usize = 4096;
 
 /// Names one ticket of one leader.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct TicketId {
     /// Epoch of the leader.
     pub epoch: u64,
@@ -38,7 +39,8 @@
 }
 
 /// Response to a request for a ticket.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum TicketResponse {
     /// The request may run once. It must be cancelled when `valid_ms` have passed since the
     /// ticket was asked for.
@@ -63,7 +65,8 @@
 }
 
 /// How a request under a ticket ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum TicketOutcome {
     /// A backend server answered; the fingerprint is no longer suspect.
     Answered,
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -22,7 +22,8 @@
 pub const MAX_LOST: usize = 1024;
 
 /// Hash of organisation, service, method, path with query, and body.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Fingerprint(pub [u8; 16]);
 
@@ -59,7 +60,8 @@
 
 /// One crash of a backend server. Several requests in flight and several instances report the same
 /// one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct CrashId {
     /// The backend server.
     pub server: ServerKey,
@@ -68,7 +70,8 @@
 }
 
 /// What is known about a fingerprint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub enum PoisonState {
     /// One crash; runs only with a ticket.
     Suspect,
@@ -77,7 +80,8 @@
 }
 
 /// Entry of the quarantine list, as the leader sends it and entry instances report it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct QuarantineEntry {
     /// The fingerprint.
     pub fingerprint: Fingerprint,
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -23,7 +23,8 @@
 pub const LOCAL_EJECTION: Duration = Duration::from_secs(30);
 
 /// Choice of a routing strategy.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Strategy {
     /// One server after the other.
--- a/crates/policy/src/verdict.rs
+++ b/crates/policy/src/verdict.rs
@@ -16,9 +16,8 @@
 pub const LAST_RESORT_WEIGHT: f64 = 0.01;
 
 /// Orders the verdict lists of the fleet.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct VerdictVersion {
     /// Epoch of the leader.
     pub epoch: u64,
@@ -27,7 +26,8 @@
 }
 
 /// What the leader decided about a server that is not in normal rotation.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Standing {
     /// Out of rotation.
     Ejected,
@@ -46,7 +46,8 @@
 }
 
 /// One verdict.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Verdict {
     /// The backend server.
     pub server: ServerKey,
@@ -63,7 +64,8 @@
 }
 
 /// The verdicts that the leader sends to an entry instance.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct VerdictUpdate {
     /// Version of the list.
     pub version: VerdictVersion,
--- a/crates/quorum/src/allocation.rs
+++ b/crates/quorum/src/allocation.rs
@@ -41,7 +41,8 @@
 pub const MAX_TOKEN_WAIT_MS: u64 = 2000;
 
 /// Settings of holders and pools.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AllocationSettings {
     /// Time between two reports of a limit in use.
     pub report_period: Duration,
--- a/crates/quorum/src/allocation/message.rs
+++ b/crates/quorum/src/allocation/message.rs
@@ -7,7 +7,8 @@
 use crate::group::{Epoch, Life};
 
 /// Identifies a limit.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct LimitKey {
     /// The service.
     pub service: ServiceId,
@@ -16,7 +17,8 @@
 }
 
 /// Configured limit, in tokens; [`TOKEN`] is one request.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Limit {
     /// Tokens per second.
     pub rate: u64,
@@ -25,7 +27,8 @@
 }
 
 /// What a holder says about one limit.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LimitReport {
     /// The limit.
     pub key: LimitKey,
@@ -48,7 +51,8 @@
 }
 
 /// What the leader answers about one limit.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LimitGrant {
     /// The limit.
     pub key: LimitKey,
@@ -79,7 +83,8 @@
 }
 
 /// Reports of one holder.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AllocationRequest {
     /// The holder.
     pub holder: Life,
@@ -92,7 +97,8 @@
 }
 
 /// Answer to an [`AllocationRequest`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AllocationReply {
     /// The holder.
     pub holder: Life,
--- a/crates/quorum/src/claim/message.rs
+++ b/crates/quorum/src/claim/message.rs
@@ -12,7 +12,8 @@
 pub const MAX_KEY_BYTES: usize = 256;
 
 /// Identifies an action: the same key of two organisations or services is two actions.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimKey {
     /// Organisation that sent the request.
     pub organisation: OrganisationId,
@@ -23,7 +24,8 @@
 }
 
 /// One attempt to run an action, unique over the life of the fleet.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct AttemptId {
     /// Entry instance that would dispatch.
     pub life: Life,
@@ -32,12 +34,14 @@
 }
 
 /// Hash of the request, to tell a repeated request from another one with the same key.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Fingerprint(pub [u8; 32]);
 
 /// What is known of the answer of a completed action.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Answer {
     /// The whole answer.
@@ -57,7 +61,8 @@
 }
 
 /// Asks a witness to grant an attempt.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimRequest {
     /// Generation of the witness group.
     pub generation: Generation,
@@ -70,7 +75,8 @@
 }
 
 /// Answer to a [`ClaimRequest`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimReply {
     /// Generation of the witness.
     pub generation: Generation,
@@ -83,7 +89,8 @@
 }
 
 /// Vote of one witness.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ClaimVote {
     /// The attempt holds the claim at this witness.
@@ -111,7 +118,8 @@
 }
 
 /// What a witness knows about an attempt that holds a claim.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum HeldState {
     /// Its entry instance is alive.
@@ -123,7 +131,8 @@
 }
 
 /// Why a witness stores no claim.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum VoteRefusal {
     /// Its memory for claims is used up.
@@ -135,7 +144,8 @@
 }
 
 /// Records the outcome of a dispatched attempt.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CompleteRequest {
     /// Generation of the witness group.
     pub generation: Generation,
@@ -150,7 +160,8 @@
 }
 
 /// Answer to a [`CompleteRequest`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CompleteReply {
     /// The witness.
     pub witness: InstanceId,
@@ -161,7 +172,8 @@
 }
 
 /// What a witness stored of an outcome.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Stored {
     /// The answer as sent.
@@ -173,7 +185,8 @@
 }
 
 /// Frees the claim of an attempt that has not run and never will.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AbandonRequest {
     /// Generation of the witness group.
     pub generation: Generation,
@@ -184,7 +197,8 @@
 }
 
 /// Answer to an [`AbandonRequest`]; the witness grants the attempt no more.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AbandonReply {
     /// The witness.
     pub witness: InstanceId,
--- a/crates/quorum/src/claim/register.rs
+++ b/crates/quorum/src/claim/register.rs
@@ -21,7 +21,8 @@
 const FENCE_RETENTION: Duration = Duration::from_mins(1);
 
 /// Limits of a claim register.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimSettings {
     /// Time for which a claim is kept after the last event.
     pub retention: Duration,
@@ -45,7 +46,8 @@
 }
 
 /// State of one action at a witness.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ClaimState {
     /// Only abandoned attempts are known.
@@ -71,7 +73,8 @@
 }
 
 /// One action in the copy for a recovering witness.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimCopy {
     /// The action.
     pub key: ClaimKey,
--- a/crates/quorum/src/group.rs
+++ b/crates/quorum/src/group.rs
@@ -19,21 +19,20 @@
 pub const RESTART_HOLD: Duration = Duration::from_millis(2100);
 
 /// Life of the witness group; a loss of more witnesses than can be recovered starts the next one.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Generation(pub u64);
 
 /// Orders the holders of the leader lease. Never used by two holders.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Epoch(pub u64);
 
 /// One life of an instance, from its start to its end.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Life {
     /// The instance.
     pub instance: InstanceId,
@@ -42,7 +41,8 @@
 }
 
 /// The witnesses of one generation.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WitnessGroup {
     /// Life of the group.
     pub generation: Generation,
--- a/crates/quorum/src/lease.rs
+++ b/crates/quorum/src/lease.rs
@@ -42,7 +42,8 @@
 const ROUNDS_KEPT: usize = 8;
 
 /// Why a lease request is sent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LeaseKind {
     /// Asks whether a campaign would be granted; binds nobody.
@@ -54,7 +55,8 @@
 }
 
 /// Request from one witness to another.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LeaseRequest {
     /// Generation of the sender.
     pub generation: Generation,
@@ -71,7 +73,8 @@
 }
 
 /// Answer to a [`LeaseRequest`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LeaseReply {
     /// Generation of the granter.
     pub generation: Generation,
@@ -88,7 +91,8 @@
 }
 
 /// Holder of the lease as a witness knows it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Leader {
     /// The instance.
     pub life: Life,
@@ -108,7 +112,8 @@
 }
 
 /// What a witness has granted last; part of the copy for a recovering witness.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Promise {
     /// Granted epoch.
     pub epoch: Epoch,
--- a/crates/quorum/src/table.rs
+++ b/crates/quorum/src/table.rs
@@ -10,7 +10,8 @@
 const MAX_REMOVED: usize = 4096;
 
 /// Position of a reader in the changes of one table.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Cursor {
     /// Life of the process that owns the table.
     pub origin: Incarnation,
@@ -19,7 +20,8 @@
 }
 
 /// Changes of a table between two cursors.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Delta<K, V> {
     /// Where the changes start; `None` when the whole table follows.
     pub since: Option<Cursor>,
--- a/crates/quorum/src/witness/backends.rs
+++ b/crates/quorum/src/witness/backends.rs
@@ -23,7 +23,8 @@
 const MAX_BACKEND_SERVERS: usize = 20_000;
 
 /// Identifies a backend server.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct BackendKey {
     /// Service that it runs.
     pub service: ServiceId,
@@ -32,7 +33,8 @@
 }
 
 /// What became of an announcement.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Announced {
     /// Stored, or a later announcement of the same life is stored already.
--- a/crates/quorum/src/witness/instances.rs
+++ b/crates/quorum/src/witness/instances.rs
@@ -20,7 +20,8 @@
 pub const INSTANCE_RETENTION: Duration = Duration::from_secs(15);
 
 /// What a member says of itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct InstanceRecord {
     /// Where it accepts requests.
     pub address: SocketAddr,
@@ -31,7 +32,8 @@
 }
 
 /// Whether callers should be sent to a member.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum InstanceState {
     /// It is not fresh and refuses requests.
--- a/crates/quorum/src/witness/message.rs
+++ b/crates/quorum/src/witness/message.rs
@@ -14,7 +14,8 @@
 use crate::table::{Cursor, Delta};
 
 /// Poll of an entry instance, sent to each witness every 500 ms.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PollRequest {
     /// Generation that the sender knows; 0 for none.
     pub generation: Generation,
@@ -35,7 +36,8 @@
 }
 
 /// Answer to a [`PollRequest`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PollReply {
     /// Generation of the witness.
     pub generation: Generation,
@@ -54,7 +56,8 @@
 }
 
 /// Answer to a pushed revision.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StoreReply {
     /// Generation of the witness.
     pub generation: Generation,
@@ -65,14 +68,16 @@
 }
 
 /// Asks a witness for a copy of its state.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RecoverRequest {
     /// The witness that has restarted.
     pub witness: Life,
 }
 
 /// State of a witness for one that has restarted.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WitnessCopy {
     /// The request that it answers.
     pub request: RecoverRequest,
@@ -95,7 +100,8 @@
 }
 
 /// One member in a [`WitnessCopy`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct InstanceCopy {
     /// The member.
     pub life: Life,
@@ -108,7 +114,8 @@
 }
 
 /// One backend server in a [`WitnessCopy`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct BackendCopy {
     /// Its last announcement.
     pub announcement: Announcement,
@@ -120,7 +127,8 @@
 ///
 /// Control decides this only while a majority of the earlier generation has ended it: by taking part in the new one, by
 /// a restart without recovery, or for good. Otherwise two generations would acknowledge at the same time.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct GenerationStart {
     /// The new group.
     pub group: WitnessGroup,
@@ -133,7 +141,8 @@
 }
 
 /// Why a witness does not start a generation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Error)]
 pub enum GenerationError {
     /// The message is for another witness or another life of it.
     #[error("the message is for another life of the witness")]
@@ -147,7 +156,8 @@
 }
 
 /// Message that a witness sends on its own.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum WitnessMessage {
     /// To be answered with [`super::Witness::on_lease_request`].
--- a/crates/report/src/burn.rs
+++ b/crates/report/src/burn.rs
@@ -22,7 +22,8 @@
 const MAX_EVENTS: usize = 12;
 
 /// The whole report.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Report {
     /// Time of the newest sample, in milliseconds since 1970.
     pub at_unix_ms: u64,
@@ -42,7 +43,8 @@
 }
 
 /// Wrongful refusals of one organisation at one service.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct WronglyRefused {
     /// Service.
     pub service: String,
@@ -57,7 +59,8 @@
 }
 
 /// How well one organisation was served at one service.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Served {
     /// Service.
     pub service: String,
@@ -70,7 +73,8 @@
 }
 
 /// One service.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct ServiceReport {
     /// Service.
     pub service: String,
@@ -89,7 +93,8 @@
 }
 
 /// Budget of a service or of one organisation at it.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Budget {
     /// Weighted requests over the covered time.
     pub tally: Tally,
@@ -100,7 +105,8 @@
 }
 
 /// Burn rate over one window.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Burn {
     /// Length of the window, in milliseconds.
     pub window_ms: u64,
@@ -111,7 +117,8 @@
 }
 
 /// Weighted requests of a service between two samples.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Interval {
     /// Start, in milliseconds since 1970.
     pub start_unix_ms: u64,
--- a/crates/report/src/classify.rs
+++ b/crates/report/src/classify.rs
@@ -25,7 +25,8 @@
 ];
 
 /// Weighted requests by what happened to them.
-#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize)]
 pub struct Tally {
     /// Answered within the objective's latency.
     pub in_time: f64,
--- a/crates/report/src/events.rs
+++ b/crates/report/src/events.rs
@@ -8,7 +8,8 @@
 const LEAD_MS: u64 = 30_000;
 
 /// A journal event; unknown fields are ignored.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Event {
     /// Wall clock time in milliseconds since 1970.
     pub at_unix_ms: u64,
--- a/crates/report/src/samples.rs
+++ b/crates/report/src/samples.rs
@@ -15,7 +15,8 @@
 const BUCKETS: &str = "radishpaddle_request_seconds_bucket";
 
 /// Service, organisation and route of a counter. The organisation of open routes may be empty.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct SeriesKey {
     /// Service.
     pub service: String,
@@ -26,7 +27,8 @@
 }
 
 /// Counts of one series.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Counts {
     /// Requests by result code.
     pub by_code: BTreeMap<u16, f64>,
@@ -36,7 +38,8 @@
 }
 
 /// Counters of one instance at one time.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Sample {
     /// When the counters were read, in milliseconds since 1970.
--- a/crates/storage/src/error.rs
+++ b/crates/storage/src/error.rs
@@ -6,7 +6,8 @@
 use thiserror::Error;
 
 /// The data directory could not be used. After an error nothing may be acknowledged.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum StorageError {
     /// Another process uses the directory.
     #[error(
--- a/crates/testkit/src/backend/fault.rs
+++ b/crates/testkit/src/backend/fault.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Faults in force. The default injects none.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct FaultPlan {
     /// Added to the service time of every request, in milliseconds.
--- a/crates/testkit/src/backend/record.rs
+++ b/crates/testkit/src/backend/record.rs
@@ -12,7 +12,8 @@
 pub const RECORDED_BODY_BYTES: usize = 64 << 10;
 
 /// One execution of a request by a backend server. Times are microseconds since the Unix epoch.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Execution {
     /// Backend server that ran the request.
     pub backend_server: BackendServerId,
--- a/crates/testkit/src/backend/shared.rs
+++ b/crates/testkit/src/backend/shared.rs
@@ -17,7 +17,8 @@
 use crate::clock::now_us;
 
 /// State and counts of a sample backend server.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct BackendStatus {
     /// Incarnation that runs now.
     pub incarnation: Incarnation,
--- a/crates/testkit/src/caller/addresses.rs
+++ b/crates/testkit/src/caller/addresses.rs
@@ -27,7 +27,8 @@
 const AVOID_TIME: Duration = Duration::from_secs(2);
 
 /// Response of `GET /.well-known/radishpaddle/addresses`; unknown fields are ignored.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct AddressAnswer {
     /// Instances to connect to, the preferred ones first.
     pub addresses: Vec<AddressEntry>,
@@ -36,7 +37,8 @@
 }
 
 /// One entry instance of an address response.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct AddressEntry {
     /// Where it accepts callers.
     pub address: SocketAddr,
--- a/crates/testkit/src/caller/operation.rs
+++ b/crates/testkit/src/caller/operation.rs
@@ -33,7 +33,8 @@
 }
 
 /// One attempt of an operation with what it was told. Times are microseconds since the Unix epoch.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Attempt {
     /// Id of the operation.
     pub operation: String,
@@ -66,7 +67,8 @@
 }
 
 /// What an attempt was told.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "told", rename_all = "snake_case")]
 pub enum Told {
     /// A complete response.
--- a/crates/testkit/src/fault_proxy/mod.rs
+++ b/crates/testkit/src/fault_proxy/mod.rs
@@ -35,7 +35,8 @@
 }
 
 /// Counts since the start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ProxyStatus {
     /// Connections accepted from clients.
     pub accepted: u64,
--- a/crates/testkit/src/fault_proxy/plan.rs
+++ b/crates/testkit/src/fault_proxy/plan.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Faults in force. The default passes everything.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct ProxyPlan {
     /// Bytes from the client to the target.
@@ -15,7 +16,8 @@
 }
 
 /// Faults of one direction.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct DirectionPlan {
     /// Delay of every byte, in milliseconds. Order is kept.
@@ -31,7 +33,8 @@
 }
 
 /// Silent loss in one direction; the other direction is not affected.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Loss {
     /// Nothing is lost.
@@ -45,7 +48,8 @@
 }
 
 /// How a connection ends when it is cut.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Cut {
     /// Orderly close (FIN) in both directions.
--- a/crates/testkit/src/history/mod.rs
+++ b/crates/testkit/src/history/mod.rs
@@ -16,7 +16,8 @@
 use crate::caller::Attempt;
 
 /// Everything that was observed in one run.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct History {
     /// What callers were told.
     pub attempts: Vec<Attempt>,
@@ -33,7 +34,8 @@
 }
 
 /// A key with the time it was in force, in microseconds since the Unix epoch.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct KeyGrant {
     /// The key.
     pub key: String,
@@ -44,7 +46,8 @@
 }
 
 /// Limit of an organisation at a service.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct RateLimit {
     /// The service.
     pub service: ServiceId,
@@ -57,7 +60,8 @@
 }
 
 /// Guarantees of the design page that a history can violate.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub enum Guarantee {
     /// A request runs only for the organisation whose key came with it.
     P2,
@@ -76,7 +80,8 @@
 }
 
 /// A violated guarantee with its evidence.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Violation {
     /// Guarantee that is violated.
     pub guarantee: Guarantee,
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -7,7 +7,8 @@
 use crate::message::Failure;
 
 /// A call to a peer did not give the expected response.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum WireError {
     /// The connection could not be made or was lost.
     #[error("connection to the peer failed: {0}")]
--- a/crates/wire/src/payload.rs
+++ b/crates/wire/src/payload.rs
@@ -35,7 +35,8 @@
 }
 
 /// What a witness says of itself to control.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WitnessStatus {
     /// The witness.
     pub instance: InstanceId,
