Count a shed request as load of its server and wait before it is repeated

Cause: a shed ends at once, so a server that sheds looked free, drew more requests than the others and used up the retry budget; the rest was refused with 2017 although three of four servers were free.

--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -119,9 +119,10 @@
                 remaining: self.remaining(),
                 expected_service: Duration::ZERO,
             };
-            if !self.service.may_retry(failed, self.class).await {
+            let Some(delay) = self.service.retry(failed, self.class).await else {
                 return fault.end;
-            }
+            };
+            tokio::time::sleep(delay).await;
             // The failed attempt may have made the request suspect.
             ticket = match self.permission().await {
                 Permission::Run => None,
--- a/crates/entry/src/service_handle.rs
+++ b/crates/entry/src/service_handle.rs
@@ -72,10 +72,15 @@
     Verdicts(VerdictUpdate, Duration),
     OthersInFlight(Vec<(ServerKey, u32)>),
     AvoidPath(ServerKey),
+    ShedOver(ServerKey),
     Acquire(Acquire, AcquireReply),
     Hedge(Acquire, HedgeQuery, oneshot::Sender<Option<Grant>>),
     Finished(Finished),
-    Retry(FailedAttempt, RequestClass, oneshot::Sender<bool>),
+    Retry(
+        FailedAttempt,
+        RequestClass,
+        oneshot::Sender<Option<Duration>>,
+    ),
     Drain(oneshot::Sender<Vec<Cell>>),
     Status(oneshot::Sender<ServiceStatus>),
 }
@@ -211,11 +216,12 @@
         answer.await.ok().flatten()
     }
 
-    /// Asks whether a failed attempt may be followed by another one.
-    pub async fn may_retry(&self, failed: FailedAttempt, class: RequestClass) -> bool {
+    /// Asks whether a failed attempt may be followed by another one, and after which delay.
+    pub async fn retry(&self, failed: FailedAttempt, class: RequestClass) -> Option<Duration> {
         let (reply, answer) = oneshot::channel();
         let command = Command::Retry(failed, class, reply);
-        self.commands.send(command).await.is_ok() && answer.await.unwrap_or(false)
+        self.commands.send(command).await.ok()?;
+        answer.await.ok().flatten()
     }
 
     /// Takes the evidence of the period.
--- a/crates/entry/src/service_task.rs
+++ b/crates/entry/src/service_task.rs
@@ -129,6 +129,7 @@
                 self.verdicts.apply(update, requested_at);
             }
             Command::OthersInFlight(counts) => self.set_others(counts),
+            Command::ShedOver(server) => self.balancer.completed(server, None),
             Command::AvoidPath(server) => self.paths.advise(server, now),
             Command::Acquire(request, reply) => self.enqueue(request, reply, now),
             Command::Hedge(request, query, reply) => {
@@ -140,7 +141,9 @@
                     expected_service: self.expected_service(class),
                     ..failed
                 };
-                let _ = reply.send(self.budget.try_retry(now, &failed).is_ok());
+                let permitted = self.budget.try_retry(now, &failed);
+                let delay = permitted.map(|()| RepeatBudget::retry_delay(&failed));
+                let _ = reply.send(delay.ok());
             }
             Command::Drain(reply) => {
                 let _ = reply.send(self.recorder.drain(now));
@@ -384,7 +387,11 @@
         self.own_in_flight = self.own_in_flight.saturating_sub(1);
         let good = matches!(finished.completion, Completion::Answered { status } if status < 500);
         let latency = good.then_some(recorded.elapsed);
-        self.balancer.completed(finished.server, latency);
+        if finished.completion == Completion::Shed {
+            self.keep_busy(finished.server, finished.class);
+        } else {
+            self.balancer.completed(finished.server, latency);
+        }
         self.paths
             .observe(finished.server, finished.completion, now);
         if let Some(latency) = latency {
@@ -398,6 +405,19 @@
         }
     }
 
+    /// A server that sheds is busy, so the request counts as in flight there for a typical service
+    /// time. A shed ends at once; without this the server would look free and draw more requests.
+    fn keep_busy(&self, server: ServerKey, class: RequestClass) {
+        let Some(commands) = self.commands.upgrade() else {
+            return;
+        };
+        let busy_for = self.expected_service(class);
+        tokio::spawn(async move {
+            tokio::time::sleep(busy_for).await;
+            let _ = commands.send(Command::ShedOver(server)).await;
+        });
+    }
+
     fn keep(&mut self, server: ServerKey, connection: BackendConnection) {
         let serving = self.servers.contains_key(&server);
         let idle = self.idle.entry(server).or_default();
