Take another port when a test backend cannot bind the one that was free

Cause: a process that another test starts at the same moment holds copies of all sockets until it runs its program, also of the socket that showed the port to be free; binding it again then fails. Change: the test fleet takes another port, at most ten times.

--- a/crates/e2e/src/fleet.rs
+++ b/crates/e2e/src/fleet.rs
@@ -407,23 +407,46 @@
             .map(|entry| self.ports(Node::Entry(entry)).backends)
             .collect();
         for number in 0..self.plan.backends {
-            let name = format!("{SERVICE}-{}", number + 1).parse()?;
+            let (backend, proxy) = self.start_backend(number, &entries).await?;
+            self.backends.push(backend);
+            self.backend_proxies.push(proxy);
+        }
+        Ok(())
+    }
+
+    /// A process that another test starts at this moment holds copies of all sockets until it runs its
+    /// program, also of the one with which the port was found free. Then another port is taken.
+    async fn start_backend(
+        &self,
+        number: usize,
+        entries: &[SocketAddr],
+    ) -> Result<(RunningBackend, RunningFaultProxy)> {
+        const ATTEMPTS: usize = 10;
+        let mut last = None;
+        for _ in 0..ATTEMPTS {
             let listen = free_address()?;
             let proxy = fault_proxy::spawn(FaultProxySettings::new(listen)).await?;
             let settings = BackendSettings {
                 listen,
                 announced_address: self.plan.backend_proxies.then(|| proxy.address()),
-                entries: entries.clone(),
+                entries: entries.to_vec(),
                 token: BACKEND_TOKEN.to_owned(),
                 slots: self.plan.slots,
                 service_time_ms: self.plan.service_time_ms,
                 seed: u64::try_from(number)? + 1,
-                ..BackendSettings::new(SERVICE.parse()?, name, zone(number)?)
+                ..BackendSettings::new(
+                    SERVICE.parse()?,
+                    format!("{SERVICE}-{}", number + 1).parse()?,
+                    zone(number)?,
+                )
             };
-            self.backends.push(backend::spawn(settings).await?);
-            self.backend_proxies.push(proxy);
+            match backend::spawn(settings).await {
+                Ok(backend) => return Ok((backend, proxy)),
+                Err(error) if error.kind() == std::io::ErrorKind::AddrInUse => last = Some(error),
+                Err(error) => return Err(error.into()),
+            }
         }
-        Ok(())
+        Err(last.context("no attempt was made")?.into())
     }
 }
 
