Test the peer protocol: certificates, malformed frames, silent peers

Cause: no test used the TLS path or sent bytes that are not frames. Change: peers with certificates of the fleet talk, those of another authority, without certificate or of another fleet are refused; a malformed frame ends its own connection only; random bytes do not panic.

--- /dev/null
+++ b/crates/wire/tests/peers.rs
@@ -0,0 +1,197 @@
+//! Connections between peers: proof of membership, malformed frames, silent paths.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::{any, proptest};
+use radishpaddle_wire::message::{Empty, Hello, failure, request, response};
+use radishpaddle_wire::tls::FLEET_SERVER_NAME;
+use radishpaddle_wire::{
+    ClientIdentity, FrameCodec, PROTOCOL_VERSION, PeerClient, PeerHandler, PeerIdentity,
+    PeerSecurity, PeerServer, ServerIdentity, TlsFiles, WireError, decode,
+};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::codec::Decoder as _;
+
+/// Longest wait for an answer in these tests.
+const LIMIT: Duration = Duration::from_secs(5);
+
+struct Echo;
+
+impl PeerHandler for Echo {
+    async fn handle(&self, _peer: PeerIdentity, request: request::Kind) -> response::Kind {
+        match request {
+            request::Kind::Poll(bytes) => response::Kind::Payload(bytes),
+            _ => response::Kind::Empty(Empty {}),
+        }
+    }
+}
+
+fn hello(fleet: &str) -> Hello {
+    Hello {
+        fleet: fleet.to_owned(),
+        instance: "entry-1".to_owned(),
+        incarnation: 1,
+        protocol_version: PROTOCOL_VERSION,
+    }
+}
+
+async fn server(security: PeerSecurity) -> PeerServer {
+    let identity = ServerIdentity {
+        hello: hello("test"),
+        security,
+    };
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    PeerServer::bind(address, identity, Arc::new(Echo))
+        .await
+        .unwrap()
+}
+
+fn client(address: SocketAddr, fleet: &str, security: PeerSecurity) -> PeerClient {
+    let identity = ClientIdentity {
+        hello: hello(fleet),
+        security,
+    };
+    PeerClient::spawn(address, identity)
+}
+
+async fn echo(client: &PeerClient) -> Result<response::Kind, WireError> {
+    client.call(request::Kind::Poll(vec![1, 2, 3]), LIMIT).await
+}
+
+/// Certificate authority of one fleet with a certificate for its processes.
+fn certificates(directory: &Path, name: &str) -> TlsFiles {
+    let mut authority = rcgen::CertificateParams::new(Vec::new()).unwrap();
+    authority.is_ca = rcgen::IsCa::Ca(rcgen::BasicConstraints::Unconstrained);
+    let authority_key = rcgen::KeyPair::generate().unwrap();
+    let authority_certificate = authority.self_signed(&authority_key).unwrap();
+    let issuer = rcgen::Issuer::new(authority, authority_key);
+    let key = rcgen::KeyPair::generate().unwrap();
+    let params = rcgen::CertificateParams::new(vec![FLEET_SERVER_NAME.to_owned()]).unwrap();
+    let certificate = params.signed_by(&key, &issuer).unwrap();
+    let file = |kind: &str, pem: String| {
+        let path = directory.join(format!("{name}-{kind}.pem"));
+        std::fs::write(&path, pem).unwrap();
+        path
+    };
+    TlsFiles {
+        authority: file("authority", authority_certificate.pem()),
+        certificate: file("certificate", certificate.pem()),
+        private_key: file("key", key.serialize_pem()),
+    }
+}
+
+/// Guards against TLS settings with which the processes of one fleet cannot talk.
+#[tokio::test]
+async fn peers_with_certificates_of_the_fleet_talk() {
+    let directory = tempfile::tempdir().unwrap();
+    let files = certificates(directory.path(), "own");
+    let server = server(PeerSecurity::load(&files).unwrap()).await;
+
+    let client = client(
+        server.address(),
+        "test",
+        PeerSecurity::load(&files).unwrap(),
+    );
+
+    assert_eq!(
+        echo(&client).await.unwrap(),
+        response::Kind::Payload(vec![1, 2, 3])
+    );
+}
+
+/// Guards against a peer that is admitted without proof, or with that of another authority.
+#[tokio::test]
+async fn peers_without_a_certificate_of_the_fleet_are_refused() {
+    let directory = tempfile::tempdir().unwrap();
+    let own = certificates(directory.path(), "own");
+    let other = certificates(directory.path(), "other");
+    let server = server(PeerSecurity::load(&own).unwrap()).await;
+
+    let stranger = client(
+        server.address(),
+        "test",
+        PeerSecurity::load(&other).unwrap(),
+    );
+    let plain = client(server.address(), "test", PeerSecurity::Plain);
+
+    assert!(echo(&stranger).await.is_err());
+    assert!(echo(&plain).await.is_err());
+}
+
+/// Guards against two fleets that mix because an address was mistyped.
+#[tokio::test]
+async fn peer_of_another_fleet_is_refused() {
+    let server = server(PeerSecurity::Plain).await;
+
+    let client = client(server.address(), "other", PeerSecurity::Plain);
+
+    assert!(echo(&client).await.is_err());
+}
+
+/// Guards against a malformed or oversized frame that ends more than its own connection.
+#[tokio::test]
+async fn malformed_frame_closes_its_connection_only() {
+    let server = server(PeerSecurity::Plain).await;
+    let client = client(server.address(), "test", PeerSecurity::Plain);
+    assert!(echo(&client).await.is_ok());
+    for frame in [&[0xff; 64][..], &[0, 0, 0, 4, 0xff, 0xff, 0xff, 0xff]] {
+        let mut stream = TcpStream::connect(server.address()).await.unwrap();
+        stream.write_all(frame).await.unwrap();
+
+        let mut buffer = [0; 16];
+        let read = tokio::time::timeout(LIMIT, stream.read(&mut buffer)).await;
+
+        let closed = matches!(read, Ok(Ok(0) | Err(_)));
+        assert!(closed, "{read:?}");
+    }
+    assert!(echo(&client).await.is_ok());
+}
+
+/// Guards against calls that hang for ever on a path that loses one direction silently.
+#[tokio::test(start_paused = true)]
+async fn call_to_a_silent_peer_times_out() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = client(listener.local_addr().unwrap(), "test", PeerSecurity::Plain);
+
+    let called = echo(&client).await;
+
+    assert!(called.is_err(), "{called:?}");
+}
+
+/// Guards against a refusal of the peer that is taken for an answer.
+#[tokio::test]
+async fn refusal_is_an_error() {
+    struct Refuse;
+    impl PeerHandler for Refuse {
+        async fn handle(&self, _: PeerIdentity, _: request::Kind) -> response::Kind {
+            radishpaddle_wire::failure(failure::Reason::NotLeader, "not the leader")
+        }
+    }
+    let identity = ServerIdentity {
+        hello: hello("test"),
+        security: PeerSecurity::Plain,
+    };
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = PeerServer::bind(address, identity, Arc::new(Refuse))
+        .await
+        .unwrap();
+    let client = client(server.address(), "test", PeerSecurity::Plain);
+
+    let called = echo(&client).await;
+
+    assert!(matches!(called, Err(WireError::Refused(_))), "{called:?}");
+}
+
+proptest! {
+    /// Guards against a panic on bytes from the network.
+    #[test]
+    fn random_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..512)) {
+        let mut buffer = bytes::BytesMut::from(&bytes[..]);
+        let _ = FrameCodec::new().decode(&mut buffer);
+        let _ = decode::<(u64, String)>(&bytes);
+    }
+}
