--- a/crates/quorum/src/claim/message.rs
+++ b/crates/quorum/src/claim/message.rs
@@ -139,7 +139,7 @@
     Full,
     /// Its generation started less than the retention time ago; an earlier attempt could have run.
     NewGeneration,
-    /// The idempotency key is longer than [`MAX_KEY_BYTES`].
+    /// The idempotency key is longer than 256 bytes.
     KeyTooLong,
 }
 
