--- a/crates/consensus/src/entry.rs
+++ b/crates/consensus/src/entry.rs
@@ -9,7 +9,7 @@
 
 /// Largest payload of one entry, in bytes, so that a message with one entry stays within
 /// [`crate::message::MAX_MESSAGE_BYTES`].
-pub const MAX_ENTRY_BYTES: usize = 252 * 1024;
+pub const MAX_ENTRY_BYTES: usize = 1020 * 1024;
 
 /// Largest snapshot, in bytes. A replica holds at most two of them in memory.
 pub const MAX_SNAPSHOT_BYTES: usize = 256 << 20;
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -6,7 +6,7 @@
 use crate::entry::{Entry, ReplicaId, SnapshotMeta};
 
 /// Largest encoded message, in bytes.
-pub const MAX_MESSAGE_BYTES: usize = 256 * 1024;
+pub const MAX_MESSAGE_BYTES: usize = 1024 * 1024;
 
 /// Entry bytes in one message; leaves room for the fields around them.
 pub const MAX_BATCH_BYTES: usize = MAX_MESSAGE_BYTES - 1024;
--- a/crates/consensus/src/repair.rs
+++ b/crates/consensus/src/repair.rs
@@ -45,6 +45,27 @@
         Ok(self.append_own(Payload::Membership(next)))
     }
 
+    /// Sets the number of voters that automatic repair aims for, at least one and at most
+    /// [`MAX_VOTERS`].
+    pub fn set_target_voters(&mut self, voters: usize) {
+        self.config.target_voters = voters.clamp(1, MAX_VOTERS);
+    }
+
+    /// Members, this one included, that answered within an election timeout. Only a leader knows.
+    #[must_use]
+    pub fn live_members(&self) -> usize {
+        let limit = self.config.election_ticks;
+        let members = self.membership().members.keys();
+        members.filter(|id| self.is_heard(**id, limit)).count()
+    }
+
+    /// Tells that the disk of a member is gone, so that repair does not wait for the member.
+    pub fn mark_lost(&mut self, id: ReplicaId) {
+        if let Some(progress) = self.lead.progress.get_mut(&id) {
+            progress.silent_ticks = progress.silent_ticks.max(self.config.repair_after_ticks);
+        }
+    }
+
     fn change_is_pending(&self) -> bool {
         self.commit < self.lead.first_index || self.membership_index() > self.commit
     }
--- a/crates/control/src/control_state.rs
+++ b/crates/control/src/control_state.rs
@@ -5,6 +5,7 @@
 use radishpaddle_consensus::submissions::{StateError, Submission, SubmissionResult, Submissions};
 use radishpaddle_model::{FleetConfig, Incarnation, InstanceId, Revision};
 use radishpaddle_quorum::WitnessGroup;
+use radishpaddle_replication::ReplicatedState;
 use serde::{Deserialize, Serialize};
 
 /// One entry of the replicated log.
@@ -117,3 +118,20 @@
         })
     }
 }
+
+impl ReplicatedState for ControlState {
+    type Command = LogCommand;
+    type Outcome = Option<SubmissionResult>;
+
+    fn apply(&mut self, command: &LogCommand) -> anyhow::Result<Self::Outcome> {
+        Ok(Self::apply(self, command)?)
+    }
+
+    fn encode(&self) -> anyhow::Result<Vec<u8>> {
+        Ok(Self::encode(self)?)
+    }
+
+    fn decode(bytes: &[u8]) -> anyhow::Result<Self> {
+        Ok(Self::decode(bytes)?)
+    }
+}
--- a/crates/control/src/distribution.rs
+++ b/crates/control/src/distribution.rs
@@ -20,7 +20,7 @@
 use tokio::time::{Instant, MissedTickBehavior};
 
 use crate::control_state::{ControlState, GenerationRecord, LogCommand};
-use crate::replica_task::{ReplicaHandle, ReplicaView};
+use crate::replica::{ReplicaHandle, ReplicaView};
 use crate::settings::ControlSettings;
 
 /// Period of pushes without a change; they bring back witnesses that lag.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,14 +4,13 @@
 pub mod command;
 pub mod control_state;
 pub mod diff;
-pub mod disk;
 pub mod distribution;
 pub mod maintenance;
 pub mod metrics;
 pub mod operator_api;
 mod parts;
 pub mod peer_handler;
-pub mod replica_task;
+pub mod replica;
 pub mod settings;
 
 pub use settings::ControlSettings;
--- a/crates/control/src/maintenance.rs
+++ b/crates/control/src/maintenance.rs
@@ -7,10 +7,10 @@
 use radishpaddle_consensus::{Payload, PersistedState, ReplicaId};
 use radishpaddle_kernel::settings;
 use radishpaddle_model::Revision;
+use radishpaddle_replication::disk;
 use radishpaddle_storage::{Export, LocalFileSystem, Storage};
 
 use crate::control_state::{ControlState, LogCommand};
-use crate::disk;
 use crate::settings::ControlSettings;
 
 /// Founds a new group in the empty data directory of one control instance.
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -6,7 +6,7 @@
 use tokio::sync::watch;
 
 use crate::distribution::SpreadView;
-use crate::replica_task::ReplicaView;
+use crate::replica::ReplicaView;
 
 /// Gauges that follow the replica and the spread of the configuration.
 pub struct ControlMetrics {
--- a/crates/control/src/operator_api.rs
+++ b/crates/control/src/operator_api.rs
@@ -23,7 +23,7 @@
 use crate::control_state::{ControlState, LogCommand};
 use crate::diff;
 use crate::distribution::SpreadView;
-use crate::replica_task::{ReplicaError, ReplicaHandle};
+use crate::replica::{ReplicaError, ReplicaHandle};
 use crate::settings::OperatorSettings;
 
 /// Threads that answer operators. A submission holds one until it is in force.
--- a/crates/control/src/parts.rs
+++ b/crates/control/src/parts.rs
@@ -16,7 +16,7 @@
 use crate::metrics::ControlMetrics;
 use crate::operator_api::{OperatorApi, OperatorServer};
 use crate::peer_handler::ControlPeerHandler;
-use crate::replica_task::ReplicaHandle;
+use crate::replica::ReplicaHandle;
 use crate::settings::ControlSettings;
 
 inventory::submit! { Plugin { program: Program::Control, name: "admin", order: 0, start: |context| admin(context) } }
@@ -40,7 +40,7 @@
 fn replica(context: Arc<Context>) -> PluginFuture<Result<Running>> {
     Box::pin(async move {
         let settings = context.get::<ControlSettings>()?;
-        let replica = ReplicaHandle::open(&settings, client_identity(&context, &settings.common)?)?;
+        let replica = crate::replica::open(&settings, client_identity(&context, &settings.common)?)?;
         context.provide(Arc::new(replica.clone()));
         tokio::spawn(follow_readiness(
             replica.watch(),
@@ -58,7 +58,7 @@
 
 /// Ready means that a leader is known and the disk works.
 async fn follow_readiness(
-    mut view: watch::Receiver<crate::replica_task::ReplicaView>,
+    mut view: watch::Receiver<crate::replica::ReplicaView>,
     readiness: Arc<Readiness>,
 ) {
     loop {
--- a/crates/control/src/peer_handler.rs
+++ b/crates/control/src/peer_handler.rs
@@ -4,7 +4,7 @@
 use radishpaddle_wire::message::{Empty, failure, request, response};
 use radishpaddle_wire::{PeerHandler, PeerIdentity, decode, failure as refusal};
 
-use crate::replica_task::ReplicaHandle;
+use crate::replica::ReplicaHandle;
 
 /// Passes consensus messages and joins to the replica.
 pub struct ControlPeerHandler {
--- /dev/null
+++ b/crates/control/src/replica.rs
@@ -0,0 +1,34 @@
+//! The replica of a control instance.
+
+use std::time::Duration;
+
+use anyhow::Result;
+pub use radishpaddle_replication::ReplicaError;
+use radishpaddle_replication::{ReplicaSettings, VoterTarget};
+use radishpaddle_wire::ClientIdentity;
+
+use crate::control_state::ControlState;
+use crate::settings::ControlSettings;
+
+/// Handle to the replica of this process.
+pub type ReplicaHandle = radishpaddle_replication::ReplicaHandle<ControlState>;
+
+/// What others may know of the replica.
+pub type ReplicaView = radishpaddle_replication::ReplicaView<ControlState>;
+
+/// Opens the data directory of the settings and starts the replica.
+///
+/// # Errors
+///
+/// Fails when the data directory is in use, damaged, or holds something else.
+pub fn open(settings: &ControlSettings, identity: ClientIdentity) -> Result<ReplicaHandle> {
+    let settings = ReplicaSettings {
+        data_directory: settings.data_directory.clone(),
+        own_address: settings.peer_address(),
+        contacts: settings.controls.clone(),
+        voters: VoterTarget::Fixed(settings.target_voters),
+        repair_after: Duration::from_millis(settings.repair_after_ms),
+        found: false,
+    };
+    ReplicaHandle::open(settings, identity)
+}
--- /dev/null
+++ b/crates/coordinator/src/board.rs
@@ -0,0 +1,247 @@
+//! Soft state of a coordinator: backend servers, gateways and their evidence. Announcements rebuild it
+//! within seconds after a restart.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use radishpaddle_model::{GatewayPresence, ServerEvidence, ServerPresence};
+use radishpaddle_wire::PresenceExchange;
+
+use crate::table::ServerTable;
+
+/// A gateway that was not heard for this long is not named to callers. Several polls long.
+const GATEWAY_LISTED: Duration = Duration::from_millis(1_300);
+
+/// A gateway that was not heard for this long admits nothing any more, so that its part of the limits
+/// returns to the others. Longer than the freshness limit of gateways.
+const GATEWAY_COUNTED: Duration = Duration::from_millis(4_500);
+
+/// A gateway that was not heard for this long is forgotten.
+const GATEWAY_FORGOTTEN: Duration = Duration::from_secs(30);
+
+/// Items of evidence that are kept for gateways that poll late.
+const MAX_EVIDENCE: usize = 8_192;
+
+/// Gateways of one availability zone below which callers get the gateways of all zones.
+const MIN_ZONE_GATEWAYS: usize = 3;
+
+/// One gateway as it was heard last.
+#[derive(Debug, Clone)]
+struct KnownGateway {
+    presence: GatewayPresence,
+    heard_at: Duration,
+}
+
+/// Evidence with its position and the gateway that saw it.
+#[derive(Debug, Clone, Copy)]
+struct KnownEvidence {
+    position: u64,
+    gateway: u64,
+    evidence: ServerEvidence,
+}
+
+/// Everything that this coordinator heard.
+#[derive(Debug)]
+pub struct Board {
+    /// Backend servers.
+    pub table: ServerTable,
+    gateways: HashMap<Arc<str>, KnownGateway>,
+    evidence: VecDeque<KnownEvidence>,
+    evidence_position: u64,
+    failure_position: u64,
+    unsent: PresenceExchange,
+}
+
+impl Board {
+    /// Empty board of one life of a coordinator.
+    #[must_use]
+    pub fn new(incarnation: u64, heartbeat: Duration) -> Self {
+        Self {
+            table: ServerTable::new(heartbeat),
+            gateways: HashMap::new(),
+            evidence: VecDeque::new(),
+            evidence_position: 0,
+            failure_position: 0,
+            unsent: empty_exchange(incarnation),
+        }
+    }
+
+    /// Takes an announcement that a backend server made here.
+    pub fn announce(&mut self, presence: &ServerPresence, now: Duration) {
+        if self.table.announce(presence, now) {
+            self.unsent.servers.push((presence.clone(), 0));
+        }
+    }
+
+    /// Takes the report of a gateway that polls here.
+    pub fn report(&mut self, presence: GatewayPresence, evidence: &[ServerEvidence], now: Duration) {
+        let gateway = radishpaddle_model::server_key(&presence.instance);
+        for item in evidence {
+            self.add_evidence(gateway, *item);
+            self.unsent.evidence.push((gateway, *item));
+        }
+        if self.hear_gateway(presence.clone(), now) {
+            let unsent = &mut self.unsent.gateways;
+            unsent.retain(|(known, _)| known.instance != presence.instance);
+            unsent.push((presence, 0));
+        }
+    }
+
+    /// Takes what another coordinator heard.
+    pub fn merge(&mut self, exchange: PresenceExchange, now: Duration) {
+        for (presence, age_ms) in exchange.servers {
+            let heard_at = now.saturating_sub(Duration::from_millis(age_ms.into()));
+            self.table.announce(&presence, heard_at);
+        }
+        for (presence, age_ms) in exchange.gateways {
+            let heard_at = now.saturating_sub(Duration::from_millis(age_ms.into()));
+            self.hear_gateway(presence, heard_at);
+        }
+        for (gateway, evidence) in exchange.evidence {
+            self.add_evidence(gateway, evidence);
+        }
+    }
+
+    /// What was heard here since the last call.
+    pub fn take_unsent(&mut self) -> PresenceExchange {
+        let sender = self.unsent.sender;
+        std::mem::replace(&mut self.unsent, empty_exchange(sender))
+    }
+
+    /// Everything that is known, for a coordinator that has just started.
+    #[must_use]
+    pub fn everything(&self, now: Duration) -> PresenceExchange {
+        let age = |heard_at: Duration| {
+            u32::try_from(now.saturating_sub(heard_at).as_millis()).unwrap_or(u32::MAX)
+        };
+        let servers = self.table.entries();
+        let gateways = self.gateways.values();
+        PresenceExchange {
+            sender: self.unsent.sender,
+            servers: servers
+                .map(|entry| (entry.presence.clone(), age(entry.heard_at)))
+                .collect(),
+            gateways: gateways
+                .map(|gateway| (gateway.presence.clone(), age(gateway.heard_at)))
+                .collect(),
+            evidence: Vec::new(),
+        }
+    }
+
+    /// Forgets what was silent for long.
+    pub fn expire(&mut self, now: Duration) {
+        self.table.expire(now);
+        self.gateways
+            .retain(|_, known| now.saturating_sub(known.heard_at) < GATEWAY_FORGOTTEN);
+    }
+
+    /// Addresses of gateways that take callers from an availability zone.
+    #[must_use]
+    pub fn addresses(&self, zone: Option<&str>, now: Duration) -> Vec<SocketAddr> {
+        let listed = |known: &&KnownGateway| {
+            known.presence.ready && now.saturating_sub(known.heard_at) <= GATEWAY_LISTED
+        };
+        let ready: Vec<_> = self.gateways.values().filter(listed).collect();
+        let near: Vec<_> = ready
+            .iter()
+            .filter(|known| Some(&*known.presence.zone) == zone)
+            .collect();
+        let mut addresses: Vec<_> = if near.len() >= MIN_ZONE_GATEWAYS {
+            near.iter().map(|known| known.presence.address).collect()
+        } else {
+            ready.iter().map(|known| known.presence.address).collect()
+        };
+        addresses.sort();
+        addresses
+    }
+
+    /// Requests per second that organisations ask for at all gateways, and the number of gateways.
+    #[must_use]
+    pub fn demand(&self, now: Duration) -> (Vec<(Arc<str>, f32)>, u32) {
+        let mut total: HashMap<&Arc<str>, f32> = HashMap::new();
+        let counted = self.gateways.values();
+        let counted =
+            counted.filter(|known| now.saturating_sub(known.heard_at) <= GATEWAY_COUNTED);
+        let mut gateways = 0;
+        for known in counted {
+            gateways += 1;
+            for (organisation, rate) in &known.presence.demand {
+                *total.entry(organisation).or_default() += rate;
+            }
+        }
+        let total = total.into_iter();
+        let total = total.map(|(name, rate)| (Arc::clone(name), rate)).collect();
+        (total, gateways)
+    }
+
+    /// Demand that a gateway reported last, as it is contained in [`Self::demand`].
+    #[must_use]
+    pub fn demand_of(&self, gateway: &str) -> Vec<(Arc<str>, f32)> {
+        let known = self.gateways.get(gateway);
+        known.map_or_else(Vec::new, |known| known.presence.demand.clone())
+    }
+
+    /// Position of the newest evidence.
+    #[must_use]
+    pub const fn evidence_position(&self) -> u64 {
+        self.evidence_position
+    }
+
+    /// Position of the newest evidence with a failure. Only failures are worth an answer at once.
+    #[must_use]
+    pub const fn failure_position(&self) -> u64 {
+        self.failure_position
+    }
+
+    /// Evidence after a position that other gateways than `gateway` saw, with its gateway.
+    #[must_use]
+    pub fn evidence_since(&self, position: u64, gateway: &str) -> Vec<(u64, ServerEvidence)> {
+        let own = radishpaddle_model::server_key(gateway);
+        let newer = self.evidence.iter().rev();
+        newer
+            .take_while(|known| known.position > position)
+            .filter(|known| known.gateway != own)
+            .map(|known| (known.gateway, known.evidence))
+            .collect()
+    }
+
+    fn add_evidence(&mut self, gateway: u64, evidence: ServerEvidence) {
+        self.evidence_position += 1;
+        if evidence.failed > 0 {
+            self.failure_position = self.evidence_position;
+        }
+        self.evidence.push_back(KnownEvidence {
+            position: self.evidence_position,
+            gateway,
+            evidence,
+        });
+        if self.evidence.len() > MAX_EVIDENCE {
+            self.evidence.pop_front();
+        }
+    }
+
+    fn hear_gateway(&mut self, presence: GatewayPresence, heard_at: Duration) -> bool {
+        let rank = |presence: &GatewayPresence| (presence.incarnation, presence.sequence);
+        let known = self.gateways.get(&presence.instance);
+        if known.is_some_and(|known| rank(&known.presence) >= rank(&presence)) {
+            return false;
+        }
+        let known = KnownGateway {
+            presence: presence.clone(),
+            heard_at,
+        };
+        self.gateways.insert(presence.instance, known);
+        true
+    }
+}
+
+const fn empty_exchange(sender: u64) -> PresenceExchange {
+    PresenceExchange {
+        sender,
+        servers: Vec::new(),
+        gateways: Vec::new(),
+        evidence: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/metrics.rs
@@ -0,0 +1,89 @@
+//! Metrics of a coordinator.
+
+use anyhow::Result;
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use radishpaddle_consensus::Role;
+use radishpaddle_replication::ReplicaView;
+
+use crate::state::CoordinatorState;
+
+/// Counters and gauges of one coordinator.
+pub struct CoordinatorMetrics {
+    registry: Registry,
+    /// Announcements of backend servers.
+    pub announcements: IntCounter,
+    /// Polls of gateways.
+    pub polls: IntCounter,
+    /// Address lookups of callers.
+    pub lookups: IntCounter,
+    submissions: IntCounterVec,
+    version: IntGauge,
+    leads: IntGauge,
+    voters: IntGauge,
+    storage_works: IntGauge,
+    servers: IntGauge,
+    gateways: IntGauge,
+}
+
+impl CoordinatorMetrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails when two metrics have the same name.
+    pub fn register() -> Result<Self> {
+        let registry = Registry::new_custom(Some("radishpaddle_coordinator".to_owned()), None)?;
+        let counter = |name: &str, help: &str| -> Result<IntCounter> {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let gauge = |name: &str, help: &str| -> Result<IntGauge> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let submissions = Opts::new("submissions_total", "Configurations by outcome.");
+        let submissions = IntCounterVec::new(submissions, &["outcome"])?;
+        registry.register(Box::new(submissions.clone()))?;
+        Ok(Self {
+            announcements: counter("announcements_total", "Announcements of backend servers.")?,
+            polls: counter("gateway_polls_total", "Polls of gateways.")?,
+            lookups: counter("lookups_total", "Address lookups of callers.")?,
+            submissions,
+            version: gauge("config_version", "Version of the configuration applied here.")?,
+            leads: gauge("leads", "1 while this coordinator leads.")?,
+            voters: gauge("voters", "Members of the group that vote.")?,
+            storage_works: gauge("storage_works", "1 while the data directory can be written.")?,
+            servers: gauge("backend_servers", "Backend servers in the table.")?,
+            gateways: gauge("gateways", "Gateways that were heard lately.")?,
+            registry,
+        })
+    }
+
+    /// Counts a submitted configuration.
+    pub fn submission(&self, outcome: &str) {
+        self.submissions.with_label_values(&[outcome]).inc();
+    }
+
+    /// Metrics as text.
+    #[must_use]
+    pub fn render(
+        &self,
+        view: &ReplicaView<CoordinatorState>,
+        servers: usize,
+        gateways: u32,
+    ) -> String {
+        let signed = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
+        let version = i64::try_from(view.state.version()).unwrap_or(i64::MAX);
+        self.version.set(version);
+        self.leads.set((view.role == Role::Leader).into());
+        self.voters.set(signed(view.membership.voters().count()));
+        self.storage_works.set(view.storage_works.into());
+        self.servers.set(signed(servers));
+        self.gateways.set(gateways.into());
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_else(|error| format!("# {error}\n"))
+    }
+}
--- a/crates/dev/src/fleet.rs
+++ b/crates/dev/src/fleet.rs
@@ -7,7 +7,7 @@
 use radishpaddle_consensus::submissions::{Submission, SubmissionResult};
 use radishpaddle_control::control_state::LogCommand;
 use radishpaddle_control::maintenance;
-use radishpaddle_control::replica_task::ReplicaHandle;
+use radishpaddle_control::replica::ReplicaHandle;
 use radishpaddle_entry::fleet_view::FleetWatch;
 use radishpaddle_kernel::admin::Readiness;
 use radishpaddle_kernel::{Kernel, Program};
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,300 @@
+//! Attempts of one request: choose a server, send, and try another one when that is safe. The result is a
+//! complete answer or a refusal that says truthfully whether the request may have run.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use radishpaddle_model::RoutingRule;
+use serde::Serialize;
+use tokio::time::{Instant, timeout_at};
+
+use crate::answer::{Answer, Refusal};
+use crate::backend_connection::{BackendAnswer, BackendConnection, SendFailure, Sent};
+use crate::forward::{ForwardRequest, strip};
+use crate::gateway::Shared;
+use crate::pool::{AttemptResult, Chosen};
+
+/// Servers that one request may be offered to when each of them refuses it unrun or cannot be reached.
+const MAX_OFFERS: usize = 5;
+
+/// Time below which no further attempt is worth making.
+const LEAST_TIME: Duration = Duration::from_millis(15);
+
+/// One attempt in the decision log.
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
+pub struct AttemptRecord {
+    /// Backend server.
+    pub server: Arc<str>,
+    /// Estimated probability of failure when it was chosen.
+    pub failure_probability: f64,
+    /// Requests known to be in flight there when it was chosen.
+    pub in_flight: u32,
+    /// Whether the connection was used before.
+    pub reused: bool,
+    /// How it ended.
+    pub result: &'static str,
+    /// Time that it took.
+    pub elapsed_ms: u64,
+}
+
+/// End of a request.
+pub struct RequestEnd {
+    /// Answer of a backend server, or why there is none.
+    pub answer: Result<Answer, Refusal>,
+    /// Attempts that were made.
+    pub attempts: Vec<AttemptRecord>,
+}
+
+/// Everything that the attempts of one request need.
+pub struct RequestPlan {
+    /// Parts of the gateway.
+    pub shared: Arc<Shared>,
+    /// Route of the request.
+    pub rule: Arc<RoutingRule>,
+    /// Service that was chosen for it.
+    pub service: Arc<str>,
+    /// What is sent.
+    pub request: ForwardRequest,
+    /// Time by which the answer must be there.
+    pub deadline: Instant,
+}
+
+/// Counts a request as in flight until it is finished or dropped.
+struct InFlight<'a> {
+    shared: &'a Shared,
+    id: &'a str,
+    finished: bool,
+}
+
+impl InFlight<'_> {
+    fn finish(mut self, result: AttemptResult, connection: Option<BackendConnection>) {
+        self.finished = true;
+        self.shared.finish_attempt(self.id, result, connection);
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        if !self.finished {
+            // The caller is gone: that says nothing about the server.
+            self.shared.finish_attempt(self.id, AttemptResult::Neutral, None);
+        }
+    }
+}
+
+/// What follows after an attempt.
+enum Next {
+    /// The request is over.
+    End(Result<Answer, Refusal>),
+    /// Another server may be tried; otherwise this is the end.
+    Another {
+        otherwise: Result<Answer, Refusal>,
+        /// Whether the request arrived at the server, so that the next send is a repeat.
+        arrived: bool,
+        /// Whether the server may have run it.
+        may_have_run: bool,
+    },
+}
+
+impl RequestPlan {
+    /// Makes attempts until there is an answer or no further one is permitted.
+    pub async fn run(&self) -> RequestEnd {
+        let mut attempts = Vec::new();
+        let mut excluded: Vec<Arc<str>> = Vec::new();
+        let mut runs = 0;
+        let mut arrived = false;
+        let mut otherwise = Err(Refusal::NoServer);
+        let answer = loop {
+            let permitted = attempts.len() < MAX_OFFERS
+                && runs < self.rule.max_attempts
+                && (!arrived || self.shared.try_repeat(&self.service));
+            if !permitted || self.left() < LEAST_TIME {
+                break otherwise;
+            }
+            let chosen = self
+                .shared
+                .choose(&self.service, self.rule.idempotent, &excluded);
+            let Some(chosen) = chosen else {
+                break otherwise;
+            };
+            excluded.push(Arc::clone(&chosen.id));
+            match self.attempt(chosen, &mut attempts).await {
+                Next::End(answer) => break answer,
+                Next::Another {
+                    otherwise: end,
+                    arrived: here,
+                    may_have_run,
+                } => {
+                    // An earlier attempt of an idempotent request may have run.
+                    let ran_before = runs > 0 && matches!(end, Err(Refusal::NotRun));
+                    otherwise = if ran_before {
+                        Err(Refusal::OutcomeUnknown)
+                    } else {
+                        end
+                    };
+                    arrived |= here;
+                    runs += u32::from(may_have_run);
+                }
+            }
+        };
+        RequestEnd { answer, attempts }
+    }
+
+    fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    async fn attempt(&self, mut chosen: Chosen, attempts: &mut Vec<AttemptRecord>) -> Next {
+        let started_at = Instant::now();
+        let in_flight = InFlight {
+            shared: &self.shared,
+            id: &chosen.id,
+            finished: false,
+        };
+        let reused = chosen.connection.is_some();
+        let connection = match chosen.connection.take() {
+            Some(connection) => Some(connection),
+            None => BackendConnection::open(chosen.address, self.left()).await,
+        };
+        let (next, result, name, connection) = match connection {
+            Some(connection) => self.send(connection, &chosen.id).await,
+            None => not_sent("not_connected", AttemptResult::NotConnected),
+        };
+        in_flight.finish(result, connection);
+        self.shared.metrics.attempted(&self.service, name);
+        let elapsed = started_at.elapsed();
+        attempts.push(AttemptRecord {
+            server: Arc::clone(&chosen.id),
+            failure_probability: (chosen.failure_probability * 1000.0).round() / 1000.0,
+            in_flight: chosen.in_flight,
+            reused,
+            result: name,
+            elapsed_ms: u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
+        });
+        next
+    }
+
+    async fn send(&self, connection: BackendConnection, server: &str) -> Sending {
+        let request = self.request.attempt(server, self.left(), &self.shared.headers);
+        let started_at = Instant::now();
+        let slow_after = self.shared.slow_after(&self.rule.name);
+        let sending = connection.send(request, &self.shared.headers.request_id);
+        tokio::pin!(sending);
+        let slow_at = (started_at + slow_after).min(self.deadline);
+        let mut overdue = false;
+        let sent = match timeout_at(slow_at, &mut sending).await {
+            Ok(sent) => Some(sent),
+            Err(_) => {
+                // Waiting goes on: a late answer is delivered as well.
+                overdue = true;
+                self.shared.note(server, AttemptResult::Failed);
+                timeout_at(self.deadline, &mut sending).await.ok()
+            }
+        };
+        match sent {
+            Some(Sent::Answered(answer, connection)) => {
+                if !overdue && answer.status.is_success() {
+                    self.shared.record_time(&self.rule.name, started_at.elapsed());
+                }
+                self.answered(answer, connection, overdue)
+            }
+            Some(Sent::NotSent) => not_sent("not_sent", AttemptResult::Neutral),
+            Some(Sent::Unknown(failure)) => self.unknown(failure, overdue),
+            None => {
+                let result = if overdue { AttemptResult::Neutral } else { AttemptResult::Failed };
+                (Next::End(Err(Refusal::TimedOut)), result, "timed_out", None)
+            }
+        }
+    }
+
+    fn answered(
+        &self,
+        answer: BackendAnswer,
+        connection: Option<BackendConnection>,
+        overdue: bool,
+    ) -> Sending {
+        if answer.status == StatusCode::MISDIRECTED_REQUEST {
+            let next = refused_unrun();
+            return (next, AttemptResult::Moved, "moved", None);
+        }
+        if answer.headers.contains_key(&self.shared.headers.not_run) {
+            return (refused_unrun(), AttemptResult::Shed, "shed", connection);
+        }
+        if !answer.status.is_server_error() {
+            let result = if overdue {
+                AttemptResult::Neutral
+            } else {
+                AttemptResult::Succeeded
+            };
+            return (Next::End(Ok(passed_on(answer))), result, "answered", connection);
+        }
+        // A server that says 503 or 429 without the proof may have run the request, and these
+        // statuses would promise the opposite.
+        let promises = answer.status == StatusCode::SERVICE_UNAVAILABLE;
+        let end = if promises {
+            Err(Refusal::OutcomeUnknown)
+        } else {
+            Ok(passed_on(answer))
+        };
+        let next = if self.rule.idempotent {
+            Next::Another {
+                otherwise: end,
+                arrived: true,
+                may_have_run: true,
+            }
+        } else {
+            Next::End(end)
+        };
+        let result = if overdue { AttemptResult::Neutral } else { AttemptResult::Failed };
+        (next, result, "server_error", connection)
+    }
+
+    fn unknown(&self, failure: SendFailure, overdue: bool) -> Sending {
+        let name = match failure {
+            SendFailure::ConnectionLost => "connection_lost",
+            SendFailure::AnswerInvalid => "answer_invalid",
+            SendFailure::AnswerCrossed => "answer_crossed",
+        };
+        let next = if self.rule.idempotent {
+            Next::Another {
+                otherwise: Err(Refusal::OutcomeUnknown),
+                arrived: true,
+                may_have_run: true,
+            }
+        } else {
+            Next::End(Err(Refusal::OutcomeUnknown))
+        };
+        let result = if overdue { AttemptResult::Neutral } else { AttemptResult::Failed };
+        (next, result, name, None)
+    }
+}
+
+type Sending = (Next, AttemptResult, &'static str, Option<BackendConnection>);
+
+fn not_sent(name: &'static str, result: AttemptResult) -> Sending {
+    let next = Next::Another {
+        otherwise: Err(Refusal::NotRun),
+        arrived: false,
+        may_have_run: false,
+    };
+    (next, result, name, None)
+}
+
+const fn refused_unrun() -> Next {
+    Next::Another {
+        otherwise: Err(Refusal::NotRun),
+        arrived: true,
+        may_have_run: false,
+    }
+}
+
+fn passed_on(mut answer: BackendAnswer) -> Answer {
+    strip(&mut answer.headers);
+    Answer {
+        status: answer.status,
+        headers: answer.headers,
+        body: answer.body,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/forward.rs
@@ -0,0 +1,129 @@
+//! What goes on to the backend server: the request without key and without headers of one connection.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context as _, Result};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Request, Uri};
+
+use crate::settings::HeaderNames;
+
+/// Headers that belong to one connection (RFC 9110, section 7.6.1), and the key.
+const NOT_FORWARDED: [HeaderName; 11] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    header::AUTHORIZATION,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// Header names of the settings, ready to use.
+#[derive(Debug, Clone)]
+pub struct Headers {
+    /// Id of a request.
+    pub request_id: HeaderName,
+    /// Milliseconds that are left.
+    pub deadline_ms: HeaderName,
+    /// Organisation.
+    pub organisation: HeaderName,
+    /// Backend server that the request is meant for.
+    pub expected_server: HeaderName,
+    /// Proof that a request did not run.
+    pub not_run: HeaderName,
+}
+
+impl Headers {
+    /// Parses the names of the settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a name is not a header name.
+    pub fn parse(names: &HeaderNames) -> Result<Self> {
+        let name = |text: &Arc<str>| {
+            HeaderName::from_bytes(text.as_bytes()).with_context(|| format!("header name {text:?}"))
+        };
+        Ok(Self {
+            request_id: name(&names.request_id)?,
+            deadline_ms: name(&names.deadline_ms)?,
+            organisation: name(&names.organisation)?,
+            expected_server: name(&names.expected_server)?,
+            not_run: name(&names.not_run)?,
+        })
+    }
+}
+
+/// A request that is complete in memory and can be sent more than once.
+#[derive(Debug, Clone)]
+pub struct ForwardRequest {
+    parts: Parts,
+    body: Bytes,
+}
+
+impl ForwardRequest {
+    /// Takes over what may be forwarded.
+    #[must_use]
+    pub fn new(mut parts: Parts, body: Bytes, organisation: Option<&str>, headers: &Headers) -> Self {
+        strip(&mut parts.headers);
+        parts.headers.remove(&headers.organisation);
+        parts.headers.remove(&headers.expected_server);
+        let organisation = organisation.map(HeaderValue::from_str);
+        if let Some(Ok(value)) = organisation {
+            parts.headers.insert(headers.organisation.clone(), value);
+        }
+        parts.version = hyper::Version::HTTP_11;
+        parts.extensions.clear();
+        if let Some(path) = parts.uri.path_and_query() {
+            parts.uri = Uri::from(path.clone());
+        }
+        Self { parts, body }
+    }
+
+    /// The request for one attempt at a backend server with the time that is left for it.
+    #[must_use]
+    pub fn attempt(&self, server: &str, left: Duration, names: &Headers) -> Request<Full<Bytes>> {
+        let mut parts = self.parts.clone();
+        let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        let headers = &mut parts.headers;
+        headers.insert(names.deadline_ms.clone(), HeaderValue::from(left_ms));
+        if let Ok(value) = HeaderValue::from_str(server) {
+            headers.insert(names.expected_server.clone(), value);
+        }
+        Request::from_parts(parts, Full::new(self.body.clone()))
+    }
+
+    /// Hash of everything that makes two requests the same to a backend server.
+    #[must_use]
+    pub fn fingerprint(&self, organisation: Option<&str>) -> u64 {
+        use std::hash::{DefaultHasher, Hash as _, Hasher as _};
+        let mut hasher = DefaultHasher::new();
+        organisation.hash(&mut hasher);
+        self.parts.method.as_str().hash(&mut hasher);
+        self.parts.uri.hash(&mut hasher);
+        self.body.hash(&mut hasher);
+        hasher.finish()
+    }
+}
+
+/// Removes the headers that belong to one connection.
+pub fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in NOT_FORWARDED.iter().chain(&named) {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,88 @@
+//! Metrics of a gateway.
+
+use std::time::Duration;
+
+use anyhow::Result;
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+/// Bounds of the latency histogram in seconds.
+const LATENCY_BUCKETS_S: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0,
+];
+
+/// Counters, gauges and histograms of one gateway. Routes and outcomes bound their number.
+pub struct GatewayMetrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    attempts: IntCounterVec,
+    latency: HistogramVec,
+    /// Requests that are being served.
+    pub in_progress: IntGauge,
+    /// Open connections of callers.
+    pub connections: IntGauge,
+    /// Version of the configuration in use.
+    pub config_version: IntGauge,
+    /// 1 while the configuration is proved to be current.
+    pub fresh: IntGauge,
+    /// Lines of the decision log that were dropped.
+    pub log_dropped: IntGauge,
+}
+
+impl GatewayMetrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails when two metrics have the same name.
+    pub fn register() -> Result<Self> {
+        let registry = Registry::new_custom(Some("radishpaddle_gateway".to_owned()), None)?;
+        let gauge = |name: &str, help: &str| -> Result<IntGauge> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let requests = Opts::new("requests_total", "Requests by service and outcome.");
+        let requests = IntCounterVec::new(requests, &["service", "outcome"])?;
+        registry.register(Box::new(requests.clone()))?;
+        let attempts = Opts::new("attempts_total", "Attempts at backend servers by result.");
+        let attempts = IntCounterVec::new(attempts, &["service", "result"])?;
+        registry.register(Box::new(attempts.clone()))?;
+        let latency = HistogramOpts::new("request_seconds", "Time from the head to the answer.");
+        let latency = latency.buckets(LATENCY_BUCKETS_S.to_vec());
+        let latency = HistogramVec::new(latency, &["service"])?;
+        registry.register(Box::new(latency.clone()))?;
+        Ok(Self {
+            requests,
+            attempts,
+            latency,
+            in_progress: gauge("requests_in_progress", "Requests that are being served.")?,
+            connections: gauge("caller_connections", "Open connections of callers.")?,
+            config_version: gauge("config_version", "Version of the configuration in use.")?,
+            fresh: gauge("fresh", "1 while the configuration is proved to be current.")?,
+            log_dropped: gauge("log_lines_dropped", "Lines of the decision log not written.")?,
+            registry,
+        })
+    }
+
+    /// Counts the end of a request.
+    pub fn finished(&self, service: &str, outcome: &str, elapsed: Duration) {
+        self.requests.with_label_values(&[service, outcome]).inc();
+        let latency = self.latency.with_label_values(&[service]);
+        latency.observe(elapsed.as_secs_f64());
+    }
+
+    /// Counts the end of an attempt.
+    pub fn attempted(&self, service: &str, result: &str) {
+        self.attempts.with_label_values(&[service, result]).inc();
+    }
+
+    /// Metrics as text.
+    #[must_use]
+    pub fn render(&self) -> String {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_else(|error| format!("# {error}\n"))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pool.rs
@@ -0,0 +1,422 @@
+//! Backend servers as this gateway knows them: their health, load and idle connections, by service.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use radishpaddle_model::{BackendState, Retirement, ServerEvidence, ServerPresence, server_key};
+use radishpaddle_wire::ServerNews;
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
+
+use crate::backend_connection::BackendConnection;
+use crate::health::Health;
+use crate::retry_budget::RetryBudget;
+use crate::selection::{self, Candidate};
+use crate::settings::RetryBudgetSettings;
+
+/// Idle connections that are kept per backend server.
+const MAX_IDLE: usize = 6;
+
+/// What another gateway said of its requests in flight counts for this long.
+const LOAD_VALID: Duration = Duration::from_millis(1_500);
+
+/// Time for which a backend server that this gateway could not connect to is avoided; doubled with each
+/// further failure. The path may be at fault, so other gateways are not told.
+const CONNECT_PAUSE: Duration = Duration::from_millis(700);
+
+/// Longest such time.
+const MAX_CONNECT_PAUSE: Duration = Duration::from_secs(6);
+
+/// Sheds count as this many requests in flight for a moment, so that a full server draws no more.
+const SHED_PAUSE: Duration = Duration::from_millis(120);
+
+/// One backend server.
+#[derive(Debug)]
+struct Server {
+    presence: ServerPresence,
+    key: u64,
+    silent: bool,
+    warm_at: Duration,
+    health: Health,
+    in_flight: u32,
+    others: HashMap<u64, (u16, Duration)>,
+    connect_failures: u32,
+    avoid_until: Duration,
+    shed_until: Duration,
+    idle: Vec<BackendConnection>,
+    unreported: ServerEvidence,
+    reported_in_flight: u16,
+}
+
+/// A backend server that was chosen for an attempt.
+#[derive(Debug)]
+pub struct Chosen {
+    /// Name of the backend server.
+    pub id: Arc<str>,
+    /// Where it is.
+    pub address: SocketAddr,
+    /// A connection that was used before.
+    pub connection: Option<BackendConnection>,
+    /// Probability that the request fails, as estimated.
+    pub failure_probability: f64,
+    /// Requests in flight at the server, as far as known.
+    pub in_flight: u32,
+}
+
+/// How an attempt ended, as far as the pool is concerned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptResult {
+    /// A complete answer in the usual time.
+    Succeeded,
+    /// A failure that counts against the server.
+    Failed,
+    /// The server had no room and did not run the request.
+    Shed,
+    /// No connection could be made.
+    NotConnected,
+    /// Another server has the address.
+    Moved,
+    /// Ended for reasons that say nothing about the server.
+    Neutral,
+}
+
+/// All backend servers.
+#[derive(Debug)]
+pub struct Pools {
+    zone: Arc<str>,
+    services: HashMap<Arc<str>, HashMap<Arc<str>, Server>>,
+    service_of: HashMap<Arc<str>, Arc<str>>,
+    by_key: HashMap<u64, Arc<str>>,
+    retired: HashMap<Arc<str>, Retirement>,
+    budgets: HashMap<Arc<str>, RetryBudget>,
+    budget_settings: RetryBudgetSettings,
+    gateways: u32,
+    rng: SmallRng,
+}
+
+impl Pools {
+    /// Empty pools.
+    #[must_use]
+    pub fn new(zone: Arc<str>, budget_settings: RetryBudgetSettings) -> Self {
+        Self {
+            zone,
+            services: HashMap::new(),
+            service_of: HashMap::new(),
+            by_key: HashMap::new(),
+            retired: HashMap::new(),
+            budgets: HashMap::new(),
+            budget_settings,
+            gateways: 1,
+            rng: SmallRng::from_os_rng(),
+        }
+    }
+
+    /// Sets the number of gateways that share budgets.
+    pub fn set_gateways(&mut self, gateways: u32) {
+        self.gateways = gateways.max(1);
+    }
+
+    /// Takes news about a backend server.
+    pub fn update(&mut self, news: ServerNews, now: Duration) {
+        let presence = news.presence;
+        let moved = self
+            .service_of
+            .get(&presence.id)
+            .is_some_and(|service| *service != presence.service);
+        if moved {
+            self.remove(&presence.id);
+        }
+        let key = server_key(&presence.id);
+        self.by_key.insert(key, Arc::clone(&presence.id));
+        self.service_of
+            .insert(Arc::clone(&presence.id), Arc::clone(&presence.service));
+        let servers = self.services.entry(Arc::clone(&presence.service)).or_default();
+        let warm_at = now + Duration::from_millis(presence.warmup_left_ms.into());
+        match servers.get_mut(&presence.id) {
+            Some(known) if known.presence.started_at_ms == presence.started_at_ms => {
+                if known.presence.rank() <= presence.rank() {
+                    known.presence = presence;
+                }
+                known.silent = news.silent;
+            }
+            Some(known) if known.presence.started_at_ms > presence.started_at_ms => (),
+            _ => {
+                servers.insert(Arc::clone(&presence.id), Server::new(presence, key, warm_at, news.silent));
+            }
+        }
+    }
+
+    /// Forgets a backend server.
+    pub fn remove(&mut self, id: &str) {
+        let Some(service) = self.service_of.remove(id) else {
+            return;
+        };
+        self.by_key.remove(&server_key(id));
+        if let Some(servers) = self.services.get_mut(&service) {
+            servers.remove(id);
+        }
+    }
+
+    /// Forgets every backend server that is not named.
+    pub fn retain(&mut self, names: &HashSet<Arc<str>>) {
+        let gone: Vec<_> = self.service_of.keys().cloned().collect();
+        for id in gone.iter().filter(|id| !names.contains(*id)) {
+            self.remove(id);
+        }
+    }
+
+    /// Takes retirements; the newest of each backend server counts.
+    pub fn retire(&mut self, retirements: Vec<Retirement>) {
+        for retirement in retirements {
+            let rank = |known: &Retirement| (known.started_at_ms, known.state);
+            let known = self.retired.get(&retirement.id);
+            if known.is_none_or(|known| rank(known) < rank(&retirement)) {
+                self.retired.insert(Arc::clone(&retirement.id), retirement);
+            }
+        }
+    }
+
+    /// Takes evidence of another gateway.
+    pub fn observe(&mut self, gateway: u64, evidence: ServerEvidence, now: Duration) {
+        let Some(server) = self.by_key.get(&evidence.server).cloned() else {
+            return;
+        };
+        if let Some(server) = self.server_mut(&server) {
+            server
+                .health
+                .record(evidence.succeeded.into(), evidence.failed.into(), now);
+            server.others.insert(gateway, (evidence.in_flight, now));
+        }
+    }
+
+    /// Evidence of this gateway since the last call.
+    pub fn take_evidence(&mut self) -> Vec<ServerEvidence> {
+        let servers = self.services.values_mut().flat_map(HashMap::values_mut);
+        servers.filter_map(Server::take_evidence).collect()
+    }
+
+    /// Counts a request for the retry budget of its service.
+    pub fn record_request(&mut self, service: &Arc<str>, now: Duration) {
+        self.budget(service).record_request(now);
+    }
+
+    /// Takes one repeat out of the budget of a service, if there is one.
+    pub fn try_repeat(&mut self, service: &Arc<str>, now: Duration) -> bool {
+        let gateways = self.gateways;
+        self.budget(service).try_repeat(gateways, now)
+    }
+
+    fn budget(&mut self, service: &Arc<str>) -> &mut RetryBudget {
+        let settings = &self.budget_settings;
+        self.budgets
+            .entry(Arc::clone(service))
+            .or_insert_with(|| RetryBudget::new(settings.clone()))
+    }
+
+    /// Chooses a backend server and counts the request as in flight there.
+    pub fn choose(
+        &mut self,
+        service: &str,
+        idempotent: bool,
+        exclude: &[Arc<str>],
+        now: Duration,
+    ) -> Option<Chosen> {
+        let servers = self.services.get_mut(service)?;
+        let names: Vec<Arc<str>> = servers.keys().cloned().collect();
+        let mut candidates = Vec::with_capacity(names.len());
+        for (index, name) in names.iter().enumerate() {
+            let server = &servers[name];
+            let retired = self.retired.get(name);
+            if !server.takes_work(retired) || exclude.contains(name) {
+                continue;
+            }
+            candidates.push(server.candidate(index, &self.zone, now));
+        }
+        let index = selection::choose(&candidates, idempotent, &mut self.rng)?;
+        let candidate = candidates.iter().find(|candidate| candidate.index == index)?;
+        let server = servers.get_mut(&names[index])?;
+        server.in_flight += 1;
+        Some(Chosen {
+            id: Arc::clone(&names[index]),
+            address: server.presence.address,
+            connection: server.idle_connection(idempotent),
+            failure_probability: candidate.failure_probability,
+            in_flight: candidate.in_flight,
+        })
+    }
+
+    /// Requests that the service can run at the same time at servers that take work, and those that are
+    /// known to be in flight.
+    #[must_use]
+    pub fn load(&self, service: &str, now: Duration) -> (u32, u32) {
+        let Some(servers) = self.services.get(service) else {
+            return (0, 0);
+        };
+        let mut load = (0, 0);
+        for (name, server) in servers {
+            if server.takes_work(self.retired.get(name)) {
+                load.0 += server.presence.slots;
+                load.1 += server.all_in_flight(now);
+            }
+        }
+        load
+    }
+
+    /// Counts the end of an attempt and takes its connection back.
+    pub fn finish(
+        &mut self,
+        id: &str,
+        result: AttemptResult,
+        connection: Option<BackendConnection>,
+        now: Duration,
+    ) {
+        let Some(server) = self.server_mut(id) else {
+            return;
+        };
+        server.in_flight = server.in_flight.saturating_sub(1);
+        server.count(result, now);
+        if let Some(connection) = connection
+            && server.idle.len() < MAX_IDLE
+        {
+            server.idle.push(connection);
+        }
+        if result == AttemptResult::Moved {
+            self.remove(id);
+        }
+    }
+
+    /// Counts a result without the end of an attempt, such as an answer that is overdue.
+    pub fn note(&mut self, id: &str, result: AttemptResult, now: Duration) {
+        if let Some(server) = self.server_mut(id) {
+            server.count(result, now);
+        }
+    }
+
+    /// Random number from 0 to 1, for weighted choices.
+    pub fn random(&mut self) -> f64 {
+        self.rng.random_range(0.0..1.0)
+    }
+
+    /// Closes idle connections that a backend server may close itself at any moment.
+    pub fn close_idle(&mut self) {
+        for server in self.services.values_mut().flat_map(HashMap::values_mut) {
+            server.idle.retain(|connection| connection.is_usable(true));
+        }
+    }
+
+    fn server_mut(&mut self, id: &str) -> Option<&mut Server> {
+        let service = self.service_of.get(id)?;
+        self.services.get_mut(service)?.get_mut(id)
+    }
+}
+
+impl Server {
+    fn new(presence: ServerPresence, key: u64, warm_at: Duration, silent: bool) -> Self {
+        Self {
+            presence,
+            key,
+            silent,
+            warm_at,
+            health: Health::default(),
+            in_flight: 0,
+            others: HashMap::new(),
+            connect_failures: 0,
+            avoid_until: Duration::ZERO,
+            shed_until: Duration::ZERO,
+            idle: Vec::new(),
+            unreported: ServerEvidence {
+                server: key,
+                succeeded: 0,
+                failed: 0,
+                in_flight: 0,
+            },
+            reported_in_flight: 0,
+        }
+    }
+
+    fn takes_work(&self, retired: Option<&Retirement>) -> bool {
+        let is_retired =
+            retired.is_some_and(|retired| retired.started_at_ms >= self.presence.started_at_ms);
+        self.presence.state == BackendState::Serving && !is_retired
+    }
+
+    fn all_in_flight(&self, now: Duration) -> u32 {
+        let valid = |at: &Duration| now.saturating_sub(*at) <= LOAD_VALID;
+        let others = self.others.values().filter(|(_, at)| valid(at));
+        let others: u32 = others.map(|(count, _)| u32::from(*count)).sum();
+        others + self.in_flight
+    }
+
+    fn candidate(&self, index: usize, zone: &str, now: Duration) -> Candidate {
+        let shed = if now < self.shed_until {
+            self.presence.slots
+        } else {
+            0
+        };
+        Candidate {
+            index,
+            avoided: now < self.avoid_until,
+            suspect: self.health.is_suspect(now),
+            failure_probability: self.health.failure_probability(now),
+            in_flight: self.all_in_flight(now) + shed,
+            slots: self.presence.slots,
+            same_zone: *self.presence.zone == *zone,
+            warming_up: now < self.warm_at,
+            silent: self.silent,
+            own_in_flight: self.in_flight,
+        }
+    }
+
+    fn idle_connection(&mut self, idempotent: bool) -> Option<BackendConnection> {
+        self.idle.retain(|connection| connection.is_usable(true));
+        self.idle
+            .pop_if(|connection| connection.is_usable(idempotent))
+    }
+
+    fn count(&mut self, result: AttemptResult, now: Duration) {
+        match result {
+            AttemptResult::Succeeded => {
+                self.health.record(1, 0, now);
+                self.unreported.succeeded = self.unreported.succeeded.saturating_add(1);
+                self.connect_failures = 0;
+                self.avoid_until = Duration::ZERO;
+            }
+            AttemptResult::Failed => {
+                self.health.record(0, 1, now);
+                self.unreported.failed = self.unreported.failed.saturating_add(1);
+            }
+            AttemptResult::Shed => self.shed_until = now + SHED_PAUSE,
+            AttemptResult::NotConnected => {
+                let doubled = CONNECT_PAUSE * 2u32.pow(self.connect_failures.min(4));
+                self.avoid_until = now + doubled.min(MAX_CONNECT_PAUSE);
+                self.connect_failures += 1;
+            }
+            AttemptResult::Moved | AttemptResult::Neutral => (),
+        }
+    }
+
+    fn take_evidence(&mut self) -> Option<ServerEvidence> {
+        let in_flight = u16::try_from(self.in_flight).unwrap_or(u16::MAX);
+        let changed = self.unreported.succeeded > 0
+            || self.unreported.failed > 0
+            || in_flight != self.reported_in_flight
+            || in_flight > 0;
+        if !changed {
+            return None;
+        }
+        let evidence = ServerEvidence {
+            in_flight,
+            ..self.unreported
+        };
+        self.reported_in_flight = in_flight;
+        self.unreported = ServerEvidence {
+            server: self.key,
+            succeeded: 0,
+            failed: 0,
+            in_flight: 0,
+        };
+        Some(evidence)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/selection.rs
@@ -0,0 +1,147 @@
+//! Choice of a backend server for one attempt.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+/// Cost of a certain failure of a request that cannot be repeated, in units of one service time.
+const FAILURE_COST_ACTION: f64 = 8.0;
+
+/// Cost of a certain failure of a request that can be repeated.
+const FAILURE_COST_IDEMPOTENT: f64 = 2.0;
+
+/// Cost of each request that has to wait, relative to the slots of the server.
+const WAITING_COST: f64 = 1.0;
+
+/// Cost of a used slot: slow machines and bursts make the last slot worth less than the first.
+const USE_COST: f64 = 0.25;
+
+/// Cost of another availability zone: its bytes are priced.
+const ZONE_COST: f64 = 0.15;
+
+/// Cost of a server that is warming up, which is slow.
+const WARMUP_COST: f64 = 0.6;
+
+/// Cost of a server whose announcements have stopped.
+const SILENT_COST: f64 = 0.7;
+
+/// Random part, so that gateways with the same view do not all choose the same server.
+const SPREAD: f64 = 0.25;
+
+/// What is known of a server when a request is placed.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate {
+    /// Position in the pool.
+    pub index: usize,
+    /// Whether this gateway failed to connect a moment ago.
+    pub avoided: bool,
+    /// Whether it is likely in a spell of failure.
+    pub suspect: bool,
+    /// Probability that the next request fails.
+    pub failure_probability: f64,
+    /// Requests in flight from all gateways, as far as known.
+    pub in_flight: u32,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Whether it is in the availability zone of this gateway.
+    pub same_zone: bool,
+    /// Whether it started a moment ago.
+    pub warming_up: bool,
+    /// Whether its announcements have stopped.
+    pub silent: bool,
+    /// Requests in flight from this gateway.
+    pub own_in_flight: u32,
+}
+
+/// Probability that an idempotent request is the trial of a suspect. All gateways together should make
+/// a few trials a second.
+const TRIAL_PROBABILITY: f64 = 0.12;
+
+/// Chooses the candidate with the lowest cost; `None` without candidates.
+///
+/// Servers that this gateway could not connect to are used only when nothing else is left. Now and then
+/// a request that can be repeated is the trial of a suspect, so that requests that cannot be repeated
+/// go where the evidence is best.
+pub fn choose(candidates: &[Candidate], idempotent: bool, rng: &mut impl Rng) -> Option<usize> {
+    if idempotent && rng.random_bool(TRIAL_PROBABILITY) {
+        let trial = |candidate: &&Candidate| {
+            candidate.suspect && !candidate.avoided && candidate.own_in_flight == 0
+        };
+        let trials: Vec<_> = candidates.iter().filter(trial).collect();
+        if !trials.is_empty() {
+            return Some(trials[rng.random_range(0..trials.len())].index);
+        }
+    }
+    let mut best = |avoided: bool| {
+        let fitting = candidates
+            .iter()
+            .filter(|candidate| avoided || !candidate.avoided);
+        let costs = fitting.map(|candidate| {
+            let spread = rng.random_range(0.0..SPREAD);
+            (candidate.index, cost(candidate, idempotent) + spread)
+        });
+        costs
+            .min_by(|left, right| left.1.total_cmp(&right.1))
+            .map(|(index, _)| index)
+    };
+    best(false).or_else(|| best(true))
+}
+
+fn cost(candidate: &Candidate, idempotent: bool) -> f64 {
+    let failure_cost = if idempotent {
+        FAILURE_COST_IDEMPOTENT
+    } else {
+        FAILURE_COST_ACTION
+    };
+    let slots = f64::from(candidate.slots.max(1));
+    let used = f64::from(candidate.in_flight) / slots;
+    let waiting = (f64::from(candidate.in_flight) + 1.0 - slots).max(0.0) / slots;
+    let mut cost = candidate.failure_probability * failure_cost + used * USE_COST;
+    cost += waiting * WAITING_COST;
+    if !candidate.same_zone {
+        cost += ZONE_COST;
+    }
+    if candidate.warming_up {
+        cost += WARMUP_COST;
+    }
+    if candidate.silent {
+        cost += SILENT_COST;
+    }
+    cost
+}
+
+/// Time after which an unanswered request counts against its server: this many usual service times.
+pub const SLOW_FACTOR: f64 = 4.0;
+
+/// Usual service time of a route, averaged over its answers.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ServiceTime {
+    mean_s: Option<f64>,
+}
+
+impl ServiceTime {
+    /// Weight of the newest answer.
+    const GAIN: f64 = 0.05;
+
+    /// Time that counts as usual before the first answer.
+    const UNKNOWN: Duration = Duration::from_millis(300);
+
+    /// Counts an answer.
+    pub fn record(&mut self, elapsed: Duration) {
+        let elapsed = elapsed.as_secs_f64();
+        let mean = self.mean_s.unwrap_or(elapsed);
+        self.mean_s = Some(mean + (elapsed - mean) * Self::GAIN);
+    }
+
+    /// Usual time.
+    #[must_use]
+    pub fn mean(&self) -> Duration {
+        self.mean_s.map_or(Self::UNKNOWN, Duration::from_secs_f64)
+    }
+
+    /// Time after which an unanswered request is slow.
+    #[must_use]
+    pub fn slow_after(&self) -> Duration {
+        self.mean().mul_f64(SLOW_FACTOR)
+    }
+}
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -5,7 +5,10 @@
 
 pub mod admin;
 pub mod arguments;
+pub mod boot_clock;
 pub mod context;
+pub mod decision_log;
+pub mod http_server;
 pub mod incarnation;
 pub mod journal;
 pub mod kernel;
@@ -17,6 +20,8 @@
 
 pub use arguments::Arguments;
 pub use context::Context;
+pub use decision_log::{DecisionLog, Keep};
+pub use http_server::{HttpApi, HttpServer};
 pub use journal::{Event, Journal};
 pub use kernel::Kernel;
 pub use plugin::{Plugin, Program, Running};
--- a/crates/kernel/src/process.rs
+++ b/crates/kernel/src/process.rs
@@ -1,5 +1,6 @@
 //! Main function of the long-running programs.
 
+use std::future::Future;
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -32,6 +33,20 @@
         .block_on(run_until_signal(program, Arc::new(settings)))
 }
 
+/// Runs a program on one thread: on machines where one thread runs at a time, further ones only cost
+/// wake-ups.
+///
+/// # Errors
+///
+/// Fails when the runtime cannot start or the program fails.
+pub fn run_single_threaded(program: impl Future<Output = Result<()>>) -> Result<()> {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("starting the runtime")?
+        .block_on(program)
+}
+
 /// Exit code of a program; an error is printed as one line.
 #[must_use]
 pub fn exit_code(name: &str, result: Result<()>) -> ExitCode {
@@ -58,10 +73,20 @@
     }
 }
 
-/// SIGTERM and SIGINT.
+/// SIGTERM and SIGINT, and SIGHUP apart from them.
 pub struct StopSignals {
     terminate: Signal,
     interrupt: Signal,
+    hangup: Signal,
+}
+
+/// What the operating system asks of a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProcessSignal {
+    /// End.
+    Stop,
+    /// Read the settings again.
+    Reload,
 }
 
 impl StopSignals {
@@ -74,10 +99,20 @@
         Ok(Self {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
         })
     }
 
-    /// Waits for the next signal.
+    /// Waits for the next signal of any kind.
+    pub async fn next_of_any(&mut self) -> ProcessSignal {
+        tokio::select! {
+            _ = self.terminate.recv() => ProcessSignal::Stop,
+            _ = self.interrupt.recv() => ProcessSignal::Stop,
+            _ = self.hangup.recv() => ProcessSignal::Reload,
+        }
+    }
+
+    /// Waits for the next signal to stop.
     pub async fn next(&mut self) {
         tokio::select! {
             _ = self.terminate.recv() => (),
--- a/crates/model/src/key.rs
+++ b/crates/model/src/key.rs
@@ -39,7 +39,7 @@
     /// Hash under which the key is stored and looked up.
     #[must_use]
     pub fn hash(&self) -> KeyHash {
-        KeyHash(Sha256::digest(self.0.as_bytes()).into())
+        KeyHash::of(&self.0)
     }
 
     /// The secret itself, to hand it to the operator who asked for it.
@@ -75,6 +75,12 @@
 }
 
 impl KeyHash {
+    /// Hash of a key whatever its length, for keys that operators of a platform chose.
+    #[must_use]
+    pub fn of(key: &str) -> Self {
+        Self(Sha256::digest(key.as_bytes()).into())
+    }
+
     /// First eight hexadecimal digits, for logs and listings.
     #[must_use]
     pub fn prefix(&self) -> String {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -7,7 +7,9 @@
 pub mod document;
 pub mod id;
 pub mod key;
+pub mod presence;
 pub mod result_code;
+pub mod routing;
 pub mod unit;
 
 pub use announcement::{Announcement, BackendState};
@@ -18,5 +20,10 @@
     ServiceId, SubmissionId,
 };
 pub use key::{KeyHash, OrganisationKey};
+pub use presence::{GatewayPresence, Retirement, ServerEvidence, ServerPresence, server_key};
 pub use result_code::{Outcome, Refusal, ResultCode};
+pub use routing::{
+    CallerLimits, HostRoutes, Organisation, RoutePart, RoutedService, RoutingConfig, RoutingError,
+    RoutingRule, RoutingTable,
+};
 pub use unit::{ByteSize, Percent, RatePerSecond};
--- a/crates/control/src/disk.rs
+++ b/crates/replication/src/disk.rs
@@ -45,7 +45,7 @@
 pub fn spawn(storage: Storage, done: UnboundedSender<DiskDone>) -> Sender<DiskJob> {
     let (jobs, receiver) = channel();
     std::thread::Builder::new()
-        .name("control-disk".to_owned())
+        .name("replica-disk".to_owned())
         .spawn(move || run(storage, &receiver, &done))
         .expect("the operating system can start a thread");
     jobs
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -20,7 +20,7 @@
 pub struct Request {
     #[prost(
         oneof = "request::Kind",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24"
     )]
     pub kind: ::core::option::Option<request::Kind>,
 }
@@ -71,6 +71,18 @@
         /// A control replica asks to become a learner; answered with Empty.
         #[prost(bytes, tag = "20")]
         Join(::prost::alloc::vec::Vec<u8>),
+        /// A gateway reports to a coordinator and waits for news.
+        #[prost(bytes, tag = "21")]
+        GatewayPoll(::prost::alloc::vec::Vec<u8>),
+        /// Coordinators exchange announcements of backend servers and gateways.
+        #[prost(bytes, tag = "22")]
+        PresenceExchange(::prost::alloc::vec::Vec<u8>),
+        /// A coordinator asks the leader to commit a command.
+        #[prost(bytes, tag = "23")]
+        Propose(::prost::alloc::vec::Vec<u8>),
+        /// A coordinator asks the leader for the index up to which everything acknowledged is applied.
+        #[prost(message, tag = "24")]
+        ReadIndex(super::Empty),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod codec;
 pub mod error;
 pub mod payload;
+pub mod poll;
 pub mod server;
 pub mod tls;
 
@@ -26,5 +27,6 @@
 pub use codec::{FrameCodec, MAX_FRAME_BYTES};
 pub use error::WireError;
 pub use payload::{PROTOCOL_VERSION, WitnessStatus, decode, encode};
+pub use poll::{GatewayPoll, PollReply, PresenceExchange, ServerNews};
 pub use server::{PeerHandler, PeerIdentity, PeerServer, ServerIdentity, failure};
 pub use tls::{PeerSecurity, TlsFiles};
