--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -113,9 +113,9 @@
             if !permitted || self.left() < LEAST_TIME {
                 break otherwise;
             }
-            let chosen = self
-                .shared
-                .choose(&self.service, self.rule.idempotent, &excluded);
+            let is_last = runs + 1 >= self.rule.max_attempts;
+            let idempotent = self.rule.idempotent;
+            let chosen = self.shared.choose(&self.service, idempotent, is_last, &excluded);
             let Some(chosen) = chosen else {
                 break otherwise;
             };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -212,9 +212,10 @@
         &self,
         service: &str,
         idempotent: bool,
+        is_last: bool,
         exclude: &[Arc<str>],
     ) -> Option<Chosen> {
-        lock(&self.pools).choose(service, idempotent, exclude, boot_clock::now())
+        lock(&self.pools).choose(service, idempotent, is_last, exclude, boot_clock::now())
     }
 
     pub(crate) fn finish_attempt(
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -13,7 +13,7 @@
 use crate::backend_connection::BackendConnection;
 use crate::health::Health;
 use crate::retry_budget::RetryBudget;
-use crate::selection::{self, Candidate};
+use crate::selection::{self, Candidate, Stake};
 use crate::settings::RetryBudgetSettings;
 
 /// Idle connections that are kept per backend server.
@@ -29,6 +29,9 @@
 /// Longest such time.
 const MAX_CONNECT_PAUSE: Duration = Duration::from_secs(6);
 
+/// A service without an idempotent request for this long has none for trials.
+const IDEMPOTENT_SEEN: Duration = Duration::from_secs(3);
+
 /// Sheds count as this many requests in flight for a moment, so that a full server draws no more.
 const SHED_PAUSE: Duration = Duration::from_millis(120);
 
@@ -48,6 +51,7 @@
     idle: Vec<BackendConnection>,
     unreported: ServerEvidence,
     reported_in_flight: u16,
+    used_at: Duration,
 }
 
 /// A backend server that was chosen for an attempt.
@@ -93,6 +97,8 @@
     budgets: HashMap<Arc<str>, RetryBudget>,
     budget_settings: RetryBudgetSettings,
     gateways: u32,
+    /// Newest idempotent request of each service here.
+    idempotent_at: HashMap<Arc<str>, Duration>,
     rng: SmallRng,
 }
 
@@ -109,6 +115,7 @@
             budgets: HashMap::new(),
             budget_settings,
             gateways: 1,
+            idempotent_at: HashMap::new(),
             rng: SmallRng::from_os_rng(),
         }
     }
@@ -188,6 +195,7 @@
                 .health
                 .record(evidence.succeeded.into(), evidence.failed.into(), now);
             server.others.insert(gateway, (evidence.in_flight, now));
+            server.used_at = now;
         }
     }
 
@@ -220,9 +228,11 @@
         &mut self,
         service: &str,
         idempotent: bool,
+        is_last: bool,
         exclude: &[Arc<str>],
         now: Duration,
     ) -> Option<Chosen> {
+        let stake = self.stake(service, idempotent, is_last, now);
         let servers = self.services.get_mut(service)?;
         let names: Vec<Arc<str>> = servers.keys().cloned().collect();
         let mut candidates = Vec::with_capacity(names.len());
@@ -234,10 +244,11 @@
             }
             candidates.push(server.candidate(index, &self.zone, now));
         }
-        let index = selection::choose(&candidates, idempotent, &mut self.rng)?;
+        let index = selection::choose(&candidates, stake, &mut self.rng)?;
         let candidate = candidates.iter().find(|candidate| candidate.index == index)?;
         let server = servers.get_mut(&names[index])?;
         server.in_flight += 1;
+        server.used_at = now;
         Some(Chosen {
             id: Arc::clone(&names[index]),
             address: server.presence.address,
@@ -247,6 +258,19 @@
         })
     }
 
+    fn stake(&mut self, service: &str, idempotent: bool, is_last: bool, now: Duration) -> Stake {
+        if idempotent {
+            self.idempotent_at.insert(service.into(), now);
+            return if is_last { Stake::Final } else { Stake::Repeatable };
+        }
+        let seen = self.idempotent_at.get(service);
+        if seen.is_some_and(|at| now.saturating_sub(*at) < IDEMPOTENT_SEEN) {
+            Stake::Final
+        } else {
+            Stake::FinalWithoutTrials
+        }
+    }
+
     /// Requests that the service can run at the same time at servers that take work, and those that are
     /// known to be in flight.
     #[must_use]
@@ -333,6 +357,7 @@
                 in_flight: 0,
             },
             reported_in_flight: 0,
+            used_at: Duration::ZERO,
         }
     }
 
@@ -365,7 +390,7 @@
             same_zone: *self.presence.zone == *zone,
             warming_up: now < self.warm_at,
             silent: self.silent,
-            own_in_flight: self.in_flight,
+            unused_for: now.saturating_sub(self.used_at),
         }
     }
 
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -4,11 +4,11 @@
 
 use rand::Rng;
 
-/// Cost of a certain failure of a request that cannot be repeated, in units of one service time.
-const FAILURE_COST_ACTION: f64 = 8.0;
+/// Cost of a certain failure that loses the request, in units of one service time.
+const FAILURE_COST_FINAL: f64 = 8.0;
 
-/// Cost of a certain failure of a request that can be repeated.
-const FAILURE_COST_IDEMPOTENT: f64 = 2.0;
+/// Cost of a certain failure after which the request is sent again.
+const FAILURE_COST_REPEATABLE: f64 = 2.0;
 
 /// Cost of each request that has to wait, relative to the slots of the server.
 const WAITING_COST: f64 = 1.0;
@@ -49,23 +49,47 @@
     pub warming_up: bool,
     /// Whether its announcements have stopped.
     pub silent: bool,
-    /// Requests in flight from this gateway.
-    pub own_in_flight: u32,
+    /// Time since a request to it was known.
+    pub unused_for: Duration,
 }
 
-/// Probability that an idempotent request is the trial of a suspect. All gateways together should make
-/// a few trials a second.
-const TRIAL_PROBABILITY: f64 = 0.12;
+/// Time without any known request after which a suspect is due for a trial.
+const TRIAL_DUE: Duration = Duration::from_millis(700);
+
+/// The same where only requests that cannot be repeated go to the service.
+const ACTION_TRIAL_DUE: Duration = Duration::from_millis(1_800);
+
+/// Probability that a fitting request is the trial of a suspect that is due. Other gateways learn of a
+/// trial a fraction of a second later, and all of them would make it.
+const TRIAL_PROBABILITY: f64 = 0.4;
+
+/// What a failure of the attempt means to the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stake {
+    /// Another attempt follows, so the server may be a trial.
+    Repeatable,
+    /// The request is lost.
+    Final,
+    /// The request is lost, and there are no other requests for trials at this service.
+    FinalWithoutTrials,
+}
 
 /// Chooses the candidate with the lowest cost; `None` without candidates.
 ///
-/// Servers that this gateway could not connect to are used only when nothing else is left. Now and then
-/// a request that can be repeated is the trial of a suspect, so that requests that cannot be repeated
-/// go where the evidence is best.
-pub fn choose(candidates: &[Candidate], idempotent: bool, rng: &mut impl Rng) -> Option<usize> {
-    if idempotent && rng.random_bool(TRIAL_PROBABILITY) {
+/// Servers that this gateway could not connect to are used only when nothing else is left. Requests that
+/// can be repeated are the trials of suspects, so that requests that cannot be repeated go where the
+/// evidence is best.
+pub fn choose(candidates: &[Candidate], stake: Stake, rng: &mut impl Rng) -> Option<usize> {
+    let due = match stake {
+        Stake::Repeatable => Some(TRIAL_DUE),
+        Stake::Final => None,
+        Stake::FinalWithoutTrials => Some(ACTION_TRIAL_DUE),
+    };
+    if let Some(due) = due
+        && rng.random_bool(TRIAL_PROBABILITY)
+    {
         let trial = |candidate: &&Candidate| {
-            candidate.suspect && !candidate.avoided && candidate.own_in_flight == 0
+            candidate.suspect && !candidate.avoided && candidate.unused_for >= due
         };
         let trials: Vec<_> = candidates.iter().filter(trial).collect();
         if !trials.is_empty() {
@@ -78,7 +102,7 @@
             .filter(|candidate| avoided || !candidate.avoided);
         let costs = fitting.map(|candidate| {
             let spread = rng.random_range(0.0..SPREAD);
-            (candidate.index, cost(candidate, idempotent) + spread)
+            (candidate.index, cost(candidate, stake) + spread)
         });
         costs
             .min_by(|left, right| left.1.total_cmp(&right.1))
@@ -87,11 +111,10 @@
     best(false).or_else(|| best(true))
 }
 
-fn cost(candidate: &Candidate, idempotent: bool) -> f64 {
-    let failure_cost = if idempotent {
-        FAILURE_COST_IDEMPOTENT
-    } else {
-        FAILURE_COST_ACTION
+fn cost(candidate: &Candidate, stake: Stake) -> f64 {
+    let failure_cost = match stake {
+        Stake::Repeatable => FAILURE_COST_REPEATABLE,
+        Stake::Final | Stake::FinalWithoutTrials => FAILURE_COST_FINAL,
     };
     let slots = f64::from(candidate.slots.max(1));
     let used = f64::from(candidate.in_flight) / slots;
