--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -40,6 +40,9 @@
 /// Age of a proof above which a poll waits for a new one.
 const OLD_PROOF: Duration = Duration::from_millis(600);
 
+/// Longest time that a poll waits for a proof.
+const PROOF_WAIT: Duration = Duration::from_millis(250);
+
 /// Heartbeat periods after the start until every backend server was heard.
 const COMPLETE_AFTER_PERIODS: u32 = 3;
 
@@ -317,7 +320,7 @@
         }
         // An answer without a recent proof is of little use, so it waits for one.
         if self.shared.confirmer.proof_age().is_none_or(|age| age > OLD_PROOF) {
-            self.shared.confirmer.confirm().await;
+            let _ = timeout(PROOF_WAIT, self.shared.confirmer.confirm()).await;
         }
         let hold_until = Instant::now() + POLL_HOLD;
         loop {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -241,6 +241,10 @@
         lock(&self.pools).record_request(service, boot_clock::now());
     }
 
+    pub(crate) fn count_refused(&self, service: &Arc<str>) {
+        lock(&self.pools).count_refused(service, boot_clock::now());
+    }
+
     pub(crate) fn try_repeat(&self, service: &Arc<str>) -> bool {
         lock(&self.pools).try_repeat(service, boot_clock::now())
     }
--- a/crates/gateway/src/poll_task.rs
+++ b/crates/gateway/src/poll_task.rs
@@ -1,5 +1,6 @@
 //! Follows the coordinators: reports this gateway, and takes configuration, backend servers and evidence.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,14 +16,18 @@
 
 use crate::gateway::Shared;
 
-/// Longest wait for the answer to a poll.
-const POLL_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time without an answer after which a coordinator counts as lost. An answer is held back for 100 ms and
+/// may wait for a proof for a few times as long.
+const LOST_AFTER: Duration = Duration::from_millis(500);
+
+/// Time for which a coordinator that was lost is asked only when there is no other one.
+const AVOID_FOR: Duration = Duration::from_secs(4);
 
 /// Shortest time between two polls.
 const POLL_PAUSE: Duration = Duration::from_millis(20);
 
 /// Pause after a coordinator that does not answer, before the next one is asked.
-const FAILED_PAUSE: Duration = Duration::from_millis(50);
+const FAILED_PAUSE: Duration = Duration::from_millis(30);
 
 /// Age of a proof above which another coordinator is asked.
 const OLD_PROOF: Duration = Duration::from_millis(1_200);
@@ -43,7 +48,7 @@
     let task = PollTask {
         incarnation,
         coordinators: settings.contacts.clone(),
-        next: usize::try_from(server_key(&settings.instance) % 1_009).unwrap_or(0),
+        lost_at: HashMap::new(),
         client: None,
         identity,
         sequence: 0,
@@ -68,7 +73,7 @@
     incarnation: u64,
     identity: ClientIdentity,
     coordinators: Vec<SocketAddr>,
-    next: usize,
+    lost_at: HashMap<SocketAddr, Instant>,
     client: Option<PeerClient>,
     sequence: u64,
     known: Known,
@@ -77,13 +82,15 @@
 
 impl PollTask {
     async fn run(mut self) {
+        // A poll that is replaced by an urgent one must not give a silent coordinator more time.
+        let mut unanswered_since = Instant::now();
         loop {
             let started_at = Instant::now();
             let sent_at = boot_clock::now();
-            let poll = self.poll();
             let client = self.client();
+            let poll = self.poll();
             let address = client.address();
-            let exchange = client.exchange(request::Kind::GatewayPoll, &poll, POLL_TIMEOUT);
+            let exchange = client.exchange(request::Kind::GatewayPoll, &poll, LOST_AFTER);
             let urgent = async {
                 self.shared.urgent.notified().await;
                 // Failures come in groups, and each poll costs both sides.
@@ -91,6 +98,7 @@
             };
             let result: Result<PollReply, WireError> = tokio::select! {
                 result = exchange => result,
+                () = sleep_until(unanswered_since + LOST_AFTER) => Err(WireError::Timeout),
                 () = urgent => continue,
             };
             match result {
@@ -100,24 +108,46 @@
                     sleep(FAILED_PAUSE).await;
                 }
             }
-            let fresh = self.shared.is_fresh();
-            self.shared.metrics.fresh.set(fresh.into());
-            let dropped = i64::try_from(self.shared.log.dropped()).unwrap_or(i64::MAX);
-            self.shared.metrics.log_dropped.set(dropped);
+            self.update_metrics();
             sleep_until(started_at + POLL_PAUSE).await;
+            unanswered_since = Instant::now();
         }
     }
 
+    fn update_metrics(&self) {
+        let metrics = &self.shared.metrics;
+        metrics.fresh.set(self.shared.is_fresh().into());
+        let dropped = i64::try_from(self.shared.log.dropped()).unwrap_or(i64::MAX);
+        metrics.log_dropped.set(dropped);
+    }
+
+    /// Client of the coordinator that this gateway should ask now.
     fn client(&mut self) -> PeerClient {
-        if let Some(client) = &self.client {
+        let address = self.preferred();
+        if let Some(client) = &self.client
+            && client.address() == address
+        {
             return client.clone();
         }
-        let address = self.coordinators[self.next % self.coordinators.len()];
         let client = PeerClient::spawn(address, self.identity.clone());
         self.client = Some(client.clone());
+        self.known = Known::default();
         client
     }
 
+    /// Rendezvous hashing spreads the gateways over the coordinators that were not lost lately.
+    fn preferred(&self) -> SocketAddr {
+        let rank = |address: &SocketAddr| {
+            let lost_at = self.lost_at.get(address);
+            let lost_for = lost_at.map(Instant::elapsed).filter(|lost| *lost < AVOID_FOR);
+            // Of those that were lost lately, the one that was lost first.
+            let hash = server_key(&format!("{}{address}", self.shared.settings.instance));
+            (lost_for.is_some(), std::cmp::Reverse(lost_for), hash)
+        };
+        let preferred = self.coordinators.iter().min_by_key(|address| rank(address));
+        *preferred.unwrap_or(&self.shared.settings.contacts[0])
+    }
+
     fn poll(&mut self) -> GatewayPoll {
         let settings = &self.shared.settings;
         self.sequence += 1;
@@ -167,7 +197,7 @@
     fn lost(&mut self, address: SocketAddr, reason: &str) {
         self.client = None;
         self.known = Known::default();
-        self.next = self.next.wrapping_add(1);
+        self.lost_at.insert(address, Instant::now());
         if self.reachable {
             self.reachable = false;
             let proof_age = self.shared.proof_age();
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -29,6 +29,12 @@
 /// Longest such time.
 const MAX_CONNECT_PAUSE: Duration = Duration::from_secs(6);
 
+/// Share of unserved requests above which a service serves badly.
+const DEGRADED: f64 = 0.05;
+
+/// Time over which the outcomes of a service are averaged.
+const OUTCOMES_WINDOW: Duration = Duration::from_secs(2);
+
 /// A service without an idempotent request for this long has none for trials.
 const IDEMPOTENT_SEEN: Duration = Duration::from_secs(3);
 
@@ -99,9 +105,39 @@
     gateways: u32,
     /// Newest idempotent request of each service here.
     idempotent_at: HashMap<Arc<str>, Duration>,
+    /// How each service serves, for trials.
+    outcomes: HashMap<Arc<str>, Outcomes>,
     rng: SmallRng,
 }
 
+/// Requests that were served or not, the older ones with less weight.
+#[derive(Debug, Clone, Copy, Default)]
+struct Outcomes {
+    served: f64,
+    unserved: f64,
+    updated_at: Duration,
+}
+
+impl Outcomes {
+    fn record(&mut self, served: f64, unserved: f64, now: Duration) {
+        let fade = self.fade(now);
+        self.served = self.served * fade + served;
+        self.unserved = self.unserved * fade + unserved;
+        self.updated_at = now;
+    }
+
+    fn unserved_share(&self, now: Duration) -> f64 {
+        let fade = self.fade(now);
+        let unserved = self.unserved * fade;
+        unserved / (unserved + self.served * fade).max(1.0)
+    }
+
+    fn fade(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.updated_at).as_secs_f64();
+        (-age / OUTCOMES_WINDOW.as_secs_f64()).exp()
+    }
+}
+
 impl Pools {
     /// Empty pools.
     #[must_use]
@@ -116,6 +152,7 @@
             budget_settings,
             gateways: 1,
             idempotent_at: HashMap::new(),
+            outcomes: HashMap::new(),
             rng: SmallRng::from_os_rng(),
         }
     }
@@ -196,6 +233,9 @@
                 .record(evidence.succeeded.into(), evidence.failed.into(), now);
             server.others.insert(gateway, (evidence.in_flight, now));
             server.used_at = now;
+            let service = Arc::clone(&server.presence.service);
+            let (served, unserved) = (evidence.succeeded.into(), evidence.failed.into());
+            self.count_outcomes(&service, served, unserved, now);
         }
     }
 
@@ -267,10 +307,25 @@
         if seen.is_some_and(|at| now.saturating_sub(*at) < IDEMPOTENT_SEEN) {
             Stake::Final
         } else {
-            Stake::FinalWithoutTrials
+            let outcomes = self.outcomes.get(service);
+            Stake::FinalWithoutTrials {
+                degraded: outcomes.is_some_and(|outcomes| outcomes.unserved_share(now) > DEGRADED),
+            }
         }
     }
 
+    /// Counts requests of a service that were served or not, here or at other gateways.
+    fn count_outcomes(&mut self, service: &Arc<str>, served: f64, unserved: f64, now: Duration) {
+        let outcomes = self.outcomes.entry(Arc::clone(service)).or_default();
+        outcomes.record(served, unserved, now);
+    }
+
+    /// Counts a request that the gateway refused itself. Other gateways refuse as many.
+    pub fn count_refused(&mut self, service: &Arc<str>, now: Duration) {
+        let weight = f64::from(self.gateways);
+        self.count_outcomes(service, 0.0, weight, now);
+    }
+
     /// Requests that the service can run at the same time at servers that take work, and those that are
     /// known to be in flight.
     #[must_use]
@@ -301,11 +356,17 @@
         };
         server.in_flight = server.in_flight.saturating_sub(1);
         server.count(result, now);
+        let service = Arc::clone(&server.presence.service);
         if let Some(connection) = connection
             && server.idle.len() < MAX_IDLE
         {
             server.idle.push(connection);
         }
+        match result {
+            AttemptResult::Succeeded => self.count_outcomes(&service, 1.0, 0.0, now),
+            AttemptResult::Failed => self.count_outcomes(&service, 0.0, 1.0, now),
+            _ => (),
+        }
         if result == AttemptResult::Moved {
             self.remove(id);
         }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -115,11 +115,11 @@
     trace.deadline_ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     let deadline = started_at + time;
     let body = read_body(body, table.config().limits.body_bytes, deadline).await?;
-    if let Some(organisation) = organisation {
-        admit(shared, organisation)?;
-    }
     let service = choose_part(&rule.parts, shared.random());
     trace.service = Some(Arc::clone(&service));
+    if let Some(organisation) = organisation {
+        admit(shared, organisation).inspect_err(|_| shared.count_refused(&service))?;
+    }
     shared.record_request(&service);
     let name = organisation.map(|organisation| &*organisation.name);
     let request = ForwardRequest::new(parts, body, name, &shared.headers);
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -56,8 +56,11 @@
 /// Time without any known request after which a suspect is due for a trial.
 const TRIAL_DUE: Duration = Duration::from_millis(700);
 
-/// The same where only requests that cannot be repeated go to the service.
-const ACTION_TRIAL_DUE: Duration = Duration::from_millis(1_800);
+/// The same where only requests that cannot be repeated go to the service, and each trial may lose one.
+const COSTLY_TRIAL_DUE: Duration = Duration::from_millis(4_000);
+
+/// The same while the service serves badly: servers that recovered are then needed.
+const NEEDED_TRIAL_DUE: Duration = Duration::from_millis(1_100);
 
 /// Probability that a fitting request is the trial of a suspect that is due. Other gateways learn of a
 /// trial a fraction of a second later, and all of them would make it.
@@ -71,7 +74,10 @@
     /// The request is lost.
     Final,
     /// The request is lost, and there are no other requests for trials at this service.
-    FinalWithoutTrials,
+    FinalWithoutTrials {
+        /// Whether the service serves badly now.
+        degraded: bool,
+    },
 }
 
 /// Chooses the candidate with the lowest cost; `None` without candidates.
@@ -83,7 +89,8 @@
     let due = match stake {
         Stake::Repeatable => Some(TRIAL_DUE),
         Stake::Final => None,
-        Stake::FinalWithoutTrials => Some(ACTION_TRIAL_DUE),
+        Stake::FinalWithoutTrials { degraded: true } => Some(NEEDED_TRIAL_DUE),
+        Stake::FinalWithoutTrials { degraded: false } => Some(COSTLY_TRIAL_DUE),
     };
     if let Some(due) = due
         && rng.random_bool(TRIAL_PROBABILITY)
@@ -114,7 +121,7 @@
 fn cost(candidate: &Candidate, stake: Stake) -> f64 {
     let failure_cost = match stake {
         Stake::Repeatable => FAILURE_COST_REPEATABLE,
-        Stake::Final | Stake::FinalWithoutTrials => FAILURE_COST_FINAL,
+        Stake::Final | Stake::FinalWithoutTrials { .. } => FAILURE_COST_FINAL,
     };
     let slots = f64::from(candidate.slots.max(1));
     let used = f64::from(candidate.in_flight) / slots;
