Poll a coordinator of the own zone and shorten reports between zones

Cause: about two thirds of the priced bytes were not requests: each poll and each exchange carried keys of 8 bytes and the demand of every organisation, and gateways polled any coordinator. Change: coordinators tell their zones, gateways prefer their own; 4-byte keys; gateways are told to other coordinators every 190 ms; backend servers of other zones cost more in the choice.

--- a/crates/coordinator/src/board.rs
+++ b/crates/coordinator/src/board.rs
@@ -21,6 +21,9 @@
 /// A gateway that was not heard for this long is forgotten.
 const GATEWAY_FORGOTTEN: Duration = Duration::from_secs(30);
 
+/// Period in which other coordinators are told of a gateway that polls here.
+const GATEWAY_TOLD_EVERY: Duration = Duration::from_millis(190);
+
 /// Items of evidence that are kept for gateways that poll late.
 const MAX_EVIDENCE: usize = 8_192;
 
@@ -38,7 +41,7 @@
 #[derive(Debug, Clone, Copy)]
 struct KnownEvidence {
     position: u64,
-    gateway: u64,
+    gateway: u32,
     evidence: ServerEvidence,
 }
 
@@ -54,20 +57,26 @@
     evidence_position: u64,
     failure_position: u64,
     unsent: PresenceExchange,
+    /// Times at which others were told of gateways that poll here.
+    told_at: HashMap<Arc<str>, Duration>,
+    /// Availability zones of the other coordinators.
+    zones: HashMap<SocketAddr, Arc<str>>,
 }
 
 impl Board {
-    /// Empty board of one life of a coordinator.
+    /// Empty board; `sender` is an empty message that names this coordinator.
     #[must_use]
-    pub fn new(incarnation: u64, heartbeat: Duration) -> Self {
+    pub fn new(sender: PresenceExchange, heartbeat: Duration) -> Self {
         Self {
+            zones: HashMap::new(),
+            told_at: HashMap::new(),
             table: ServerTable::new(heartbeat),
             gateways: HashMap::new(),
             admitted: HashMap::new(),
             evidence: VecDeque::new(),
             evidence_position: 0,
             failure_position: 0,
-            unsent: empty_exchange(incarnation),
+            unsent: sender,
         }
     }
 
@@ -80,20 +89,29 @@
 
     /// Takes the report of a gateway that polls here.
     pub fn report(&mut self, presence: GatewayPresence, evidence: &[ServerEvidence], now: Duration) {
-        let gateway = radishpaddle_model::server_key(&presence.instance);
+        let gateway = radishpaddle_model::short_key(&presence.instance);
         for item in evidence {
             self.add_evidence(gateway, *item);
             self.unsent.evidence.push((gateway, *item));
         }
-        if self.hear_gateway(presence.clone(), now) {
-            let unsent = &mut self.unsent.gateways;
-            unsent.retain(|(known, _)| known.instance != presence.instance);
-            unsent.push((presence, 0));
+        let told_at = self.told_at.get(&presence.instance).copied();
+        let known = self.gateways.get(&presence.instance);
+        let same = known.is_some_and(|known| known.presence.ready == presence.ready);
+        if !self.hear_gateway(presence.clone(), now) {
+            return;
+        }
+        if same && told_at.is_some_and(|at| now.saturating_sub(at) < GATEWAY_TOLD_EVERY) {
+            return;
         }
+        self.told_at.insert(Arc::clone(&presence.instance), now);
+        let unsent = &mut self.unsent.gateways;
+        unsent.retain(|(known, _)| known.instance != presence.instance);
+        unsent.push((presence, 0));
     }
 
     /// Takes what another coordinator heard.
     pub fn merge(&mut self, exchange: PresenceExchange, now: Duration) {
+        self.zones.insert(exchange.address, exchange.zone);
         for (presence, age_ms) in exchange.servers {
             let heard_at = now.saturating_sub(Duration::from_millis(age_ms.into()));
             self.table.announce(&presence, heard_at);
@@ -109,8 +127,14 @@
 
     /// What was heard here since the last call.
     pub fn take_unsent(&mut self) -> PresenceExchange {
-        let sender = self.unsent.sender;
-        std::mem::replace(&mut self.unsent, empty_exchange(sender))
+        let empty = self.unsent.without_content();
+        std::mem::replace(&mut self.unsent, empty)
+    }
+
+    /// Availability zone of another coordinator, when it was heard.
+    #[must_use]
+    pub fn zone_of(&self, coordinator: &SocketAddr) -> Option<Arc<str>> {
+        self.zones.get(coordinator).cloned()
     }
 
     /// Everything that is known, for a coordinator that has just started.
@@ -122,14 +146,13 @@
         let servers = self.table.entries();
         let gateways = self.gateways.values();
         PresenceExchange {
-            sender: self.unsent.sender,
             servers: servers
                 .map(|entry| (entry.presence.clone(), age(entry.heard_at)))
                 .collect(),
             gateways: gateways
                 .map(|gateway| (gateway.presence.clone(), age(gateway.heard_at)))
                 .collect(),
-            evidence: Vec::new(),
+            ..self.unsent.without_content()
         }
     }
 
@@ -218,8 +241,8 @@
 
     /// Evidence after a position that other gateways than `gateway` saw, with its gateway.
     #[must_use]
-    pub fn evidence_since(&self, position: u64, gateway: &str) -> Vec<(u64, ServerEvidence)> {
-        let own = radishpaddle_model::server_key(gateway);
+    pub fn evidence_since(&self, position: u64, gateway: &str) -> Vec<(u32, ServerEvidence)> {
+        let own = radishpaddle_model::short_key(gateway);
         let newer = self.evidence.iter().rev();
         newer
             .take_while(|known| known.position > position)
@@ -228,7 +251,7 @@
             .collect()
     }
 
-    fn add_evidence(&mut self, gateway: u64, evidence: ServerEvidence) {
+    fn add_evidence(&mut self, gateway: u32, evidence: ServerEvidence) {
         self.evidence_position += 1;
         if evidence.failed > 0 {
             self.failure_position = self.evidence_position;
@@ -258,12 +281,3 @@
         true
     }
 }
-
-const fn empty_exchange(sender: u64) -> PresenceExchange {
-    PresenceExchange {
-        sender,
-        servers: Vec::new(),
-        gateways: Vec::new(),
-        evidence: Vec::new(),
-    }
-}
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -11,6 +11,7 @@
 use radishpaddle_wire::message::{Hello, request};
 use radishpaddle_wire::{
     ClientIdentity, GatewayPoll, PROTOCOL_VERSION, PeerSecurity, PeerServer, PollReply,
+    PresenceExchange,
     ServerIdentity, ServerNews, WireError, decode_response,
 };
 use serde_json::json;
@@ -108,13 +109,21 @@
         let leader = LeaderClient::new(identity.clone());
         let heartbeat = Duration::from_millis(settings.heartbeat_ms);
         let address = settings.peer_listen;
+        let sender = PresenceExchange {
+            sender: incarnation,
+            address,
+            zone: Arc::clone(&settings.zone),
+            servers: Vec::new(),
+            gateways: Vec::new(),
+            evidence: Vec::new(),
+        };
         let shared = Shared {
             incarnation,
             started_at: Instant::now(),
             confirmer: Confirmer::spawn(replica.clone(), leader.clone()),
             replica: replica.clone(),
             leader,
-            board: Mutex::new(Board::new(incarnation, heartbeat)),
+            board: Mutex::new(Board::new(sender, heartbeat)),
             news: Notify::new(),
             log,
             metrics: CoordinatorMetrics::register()?,
@@ -392,7 +401,7 @@
             demand,
             own_demand: board.demand_of(instance),
             gateways,
-            coordinators: self.coordinators(),
+            coordinators: self.coordinators_with_zones(&board),
         }
     }
 
@@ -404,6 +413,19 @@
         members.filter_map(|member| member.address.parse().ok()).collect()
     }
 
+    fn coordinators_with_zones(&self, board: &Board) -> Vec<(SocketAddr, Option<Arc<str>>)> {
+        let settings = &self.shared.settings;
+        let zone = |address: &SocketAddr| {
+            if *address == settings.peer_listen {
+                Some(Arc::clone(&settings.zone))
+            } else {
+                board.zone_of(address)
+            }
+        };
+        let addresses = self.coordinators().into_iter();
+        addresses.map(|address| (address, zone(&address))).collect()
+    }
+
     /// Replica of this coordinator.
     #[must_use]
     pub fn replica(&self) -> &ReplicaHandle<CoordinatorState> {
--- a/crates/coordinator/src/exchange.rs
+++ b/crates/coordinator/src/exchange.rs
@@ -79,7 +79,7 @@
                 }
             }
         }
-        if !is_empty(news) {
+        if !news.is_empty() {
             self.waiting.push(news.clone());
         }
         if !self.calls.is_empty() {
@@ -93,9 +93,9 @@
             self.waiting.clear();
             coordinator.board().everything(coordinator.now())
         } else {
-            join(coordinator.incarnation(), std::mem::take(&mut self.waiting))
+            join(news, std::mem::take(&mut self.waiting))
         };
-        if self.life != 0 && is_empty(&batch) {
+        if self.life != 0 && batch.is_empty() {
             return;
         }
         let client = self.client.clone();
@@ -106,17 +106,8 @@
     }
 }
 
-fn is_empty(exchange: &PresenceExchange) -> bool {
-    exchange.servers.is_empty() && exchange.gateways.is_empty() && exchange.evidence.is_empty()
-}
-
-fn join(sender: u64, parts: Vec<PresenceExchange>) -> PresenceExchange {
-    let mut joined = PresenceExchange {
-        sender,
-        servers: Vec::new(),
-        gateways: Vec::new(),
-        evidence: Vec::new(),
-    };
+fn join(sender: &PresenceExchange, parts: Vec<PresenceExchange>) -> PresenceExchange {
+    let mut joined = sender.without_content();
     for part in parts {
         joined.servers.extend(part.servers);
         joined.gateways.extend(part.gateways);
--- a/crates/gateway/src/poll_task.rs
+++ b/crates/gateway/src/poll_task.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use radishpaddle_kernel::{Keep, boot_clock, incarnation};
-use radishpaddle_model::{GatewayPresence, server_key};
+use radishpaddle_model::{GatewayPresence, name_hash};
 use radishpaddle_wire::message::{Hello, request};
 use radishpaddle_wire::{
     ClientIdentity, GatewayPoll, PROTOCOL_VERSION, PeerClient, PeerSecurity, PollReply, WireError,
@@ -47,7 +47,7 @@
     };
     let task = PollTask {
         incarnation,
-        coordinators: settings.contacts.clone(),
+        coordinators: settings.contacts.iter().map(|contact| (*contact, None)).collect(),
         lost_at: HashMap::new(),
         client: None,
         identity,
@@ -72,7 +72,7 @@
     shared: Arc<Shared>,
     incarnation: u64,
     identity: ClientIdentity,
-    coordinators: Vec<SocketAddr>,
+    coordinators: Vec<(SocketAddr, Option<Arc<str>>)>,
     lost_at: HashMap<SocketAddr, Instant>,
     client: Option<PeerClient>,
     sequence: u64,
@@ -135,17 +135,20 @@
         client
     }
 
-    /// Rendezvous hashing spreads the gateways over the coordinators that were not lost lately.
+    /// Of the coordinators that were not lost lately, one in the own availability zone. Rendezvous hashing
+    /// spreads the gateways over them.
     fn preferred(&self) -> SocketAddr {
-        let rank = |address: &SocketAddr| {
+        let settings = &self.shared.settings;
+        let rank = |(address, zone): &(SocketAddr, Option<Arc<str>>)| {
             let lost_at = self.lost_at.get(address);
             let lost_for = lost_at.map(Instant::elapsed).filter(|lost| *lost < AVOID_FOR);
+            let far = zone.as_ref() != Some(&settings.zone);
+            let hash = name_hash(&format!("{}{address}", settings.instance));
             // Of those that were lost lately, the one that was lost first.
-            let hash = server_key(&format!("{}{address}", self.shared.settings.instance));
-            (lost_for.is_some(), std::cmp::Reverse(lost_for), hash)
+            (lost_for.is_some(), std::cmp::Reverse(lost_for), far, hash)
         };
-        let preferred = self.coordinators.iter().min_by_key(|address| rank(address));
-        *preferred.unwrap_or(&self.shared.settings.contacts[0])
+        let preferred = self.coordinators.iter().min_by_key(|known| rank(known));
+        preferred.map_or(settings.contacts[0], |(address, _)| *address)
     }
 
     fn poll(&mut self) -> GatewayPoll {
@@ -207,8 +210,8 @@
             });
         }
         for contact in self.shared.contacts() {
-            if !self.coordinators.contains(&contact) {
-                self.coordinators.push(contact);
+            if self.coordinators.iter().all(|(known, _)| *known != contact) {
+                self.coordinators.push((contact, None));
             }
         }
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use radishpaddle_model::{BackendState, Retirement, ServerEvidence, ServerPresence, server_key};
+use radishpaddle_model::{BackendState, Retirement, ServerEvidence, ServerPresence, short_key};
 use radishpaddle_wire::ServerNews;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
@@ -45,12 +45,12 @@
 #[derive(Debug)]
 struct Server {
     presence: ServerPresence,
-    key: u64,
+    key: u32,
     silent: bool,
     warm_at: Duration,
     health: Health,
     in_flight: u32,
-    others: HashMap<u64, (u16, Duration)>,
+    others: HashMap<u32, (u16, Duration)>,
     connect_failures: u32,
     avoid_until: Duration,
     shed_until: Duration,
@@ -98,7 +98,7 @@
     zone: Arc<str>,
     services: HashMap<Arc<str>, HashMap<Arc<str>, Server>>,
     service_of: HashMap<Arc<str>, Arc<str>>,
-    by_key: HashMap<u64, Arc<str>>,
+    by_key: HashMap<u32, Arc<str>>,
     retired: HashMap<Arc<str>, Retirement>,
     budgets: HashMap<Arc<str>, RetryBudget>,
     budget_settings: RetryBudgetSettings,
@@ -172,7 +172,7 @@
         if moved {
             self.remove(&presence.id);
         }
-        let key = server_key(&presence.id);
+        let key = short_key(&presence.id);
         self.by_key.insert(key, Arc::clone(&presence.id));
         self.service_of
             .insert(Arc::clone(&presence.id), Arc::clone(&presence.service));
@@ -197,7 +197,7 @@
         let Some(service) = self.service_of.remove(id) else {
             return;
         };
-        self.by_key.remove(&server_key(id));
+        self.by_key.remove(&short_key(id));
         if let Some(servers) = self.services.get_mut(&service) {
             servers.remove(id);
         }
@@ -223,7 +223,7 @@
     }
 
     /// Takes evidence of another gateway.
-    pub fn observe(&mut self, gateway: u64, evidence: ServerEvidence, now: Duration) {
+    pub fn observe(&mut self, gateway: u32, evidence: ServerEvidence, now: Duration) {
         let Some(server) = self.by_key.get(&evidence.server).cloned() else {
             return;
         };
@@ -398,7 +398,7 @@
 }
 
 impl Server {
-    fn new(presence: ServerPresence, key: u64, warm_at: Duration, silent: bool) -> Self {
+    fn new(presence: ServerPresence, key: u32, warm_at: Duration, silent: bool) -> Self {
         Self {
             presence,
             key,
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -18,7 +18,7 @@
 
 /// Time after which the requests of other gateways are known here: a poll there, an exchange between
 /// coordinators and a poll here.
-const REPORT_DELAY_S: f64 = 0.25;
+const REPORT_DELAY_S: f64 = 0.35;
 
 /// Part of the burst that is kept for requests that others admit meanwhile.
 const KEPT_BURST: f64 = 0.05;
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -17,7 +17,7 @@
 const USE_COST: f64 = 0.25;
 
 /// Cost of another availability zone: its bytes are priced.
-const ZONE_COST: f64 = 0.15;
+const ZONE_COST: f64 = 0.45;
 
 /// Cost of a server that is warming up, which is slow.
 const WARMUP_COST: f64 = 0.6;
@@ -26,7 +26,7 @@
 const SILENT_COST: f64 = 0.7;
 
 /// Random part, so that gateways with the same view do not all choose the same server.
-const SPREAD: f64 = 0.25;
+const SPREAD: f64 = 0.2;
 
 /// What is known of a server when a request is placed.
 #[derive(Debug, Clone, Copy)]
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -20,7 +20,10 @@
     ServiceId, SubmissionId,
 };
 pub use key::{KeyHash, OrganisationKey};
-pub use presence::{GatewayPresence, OrganisationDemand, Retirement, ServerEvidence, ServerPresence, server_key};
+pub use presence::{
+    GatewayPresence, OrganisationDemand, Retirement, ServerEvidence, ServerPresence, name_hash,
+    short_key,
+};
 pub use result_code::{Outcome, Refusal, ResultCode};
 pub use routing::{
     CallerLimits, HostRoutes, Organisation, RoutePart, RoutedService, RoutingConfig, RoutingError,
--- a/crates/model/src/presence.rs
+++ b/crates/model/src/presence.rs
@@ -56,8 +56,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct ServerEvidence {
-    /// Key of the backend server, see [`server_key`].
-    pub server: u64,
+    /// Key of the backend server, see [`short_key`].
+    pub server: u32,
     /// Requests answered in the usual time.
     pub succeeded: u16,
     /// Requests that failed in a way that counts against the server.
@@ -98,9 +98,19 @@
     pub admitted: u64,
 }
 
-/// Stable key of a backend server name, shorter than the name.
+/// Stable key of a name, shorter than the name. Two names with the same key share evidence, which is
+/// harmless and rare.
 #[must_use]
-pub fn server_key(id: &str) -> u64 {
+pub fn short_key(name: &str) -> u32 {
+    let hash = name_hash(name);
+    #[expect(clippy::cast_possible_truncation, reason = "the halves are combined")]
+    let folded = (hash ^ (hash >> 32)) as u32;
+    folded
+}
+
+/// Hash of a name, the same on every instance.
+#[must_use]
+pub fn name_hash(id: &str) -> u64 {
     // FNV-1a, 64 bits: the same on every instance, unlike the hasher of the standard library.
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0100_0000_01b3;
--- a/crates/wire/src/poll.rs
+++ b/crates/wire/src/poll.rs
@@ -54,7 +54,7 @@
     /// Position of this answer in the evidence.
     pub evidence_position: u64,
     /// Results at other gateways, with a key of the gateway that saw them.
-    pub evidence: Vec<(u64, ServerEvidence)>,
+    pub evidence: Vec<(u32, ServerEvidence)>,
     /// Version in force.
     pub config_version: u64,
     /// The configuration, when the gateway has an older one.
@@ -65,8 +65,8 @@
     pub own_demand: Vec<OrganisationDemand>,
     /// Gateways that were heard lately, this one included.
     pub gateways: u32,
-    /// Peer addresses of the coordinators.
-    pub coordinators: Vec<SocketAddr>,
+    /// Peer addresses of the coordinators with their availability zones, as far as known.
+    pub coordinators: Vec<(SocketAddr, Option<Arc<str>>)>,
 }
 
 /// A backend server in the answer to a gateway.
@@ -85,10 +85,35 @@
 pub struct PresenceExchange {
     /// Life of the sender.
     pub sender: u64,
+    /// Peer address of the sender.
+    pub address: SocketAddr,
+    /// Availability zone of the sender.
+    pub zone: Arc<str>,
     /// Announcements with their age in milliseconds.
     pub servers: Vec<(ServerPresence, u32)>,
     /// Gateways with the age of their report in milliseconds.
     pub gateways: Vec<(GatewayPresence, u32)>,
     /// Results of requests, with a key of the gateway that saw them.
-    pub evidence: Vec<(u64, ServerEvidence)>,
+    pub evidence: Vec<(u32, ServerEvidence)>,
+}
+
+impl PresenceExchange {
+    /// An empty message of the same sender.
+    #[must_use]
+    pub fn without_content(&self) -> Self {
+        Self {
+            sender: self.sender,
+            address: self.address,
+            zone: Arc::clone(&self.zone),
+            servers: Vec::new(),
+            gateways: Vec::new(),
+            evidence: Vec::new(),
+        }
+    }
+
+    /// Whether there is nothing to tell.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty() && self.gateways.is_empty() && self.evidence.is_empty()
+    }
 }
