Average the part of a gateway in a limit against the demand of the same age

Ruled out: deeper buckets (no effect), a longer window of the demand (463 to 488 in a window). Change: the part compares demands of the same age and is averaged over many reports; debt counts against the tolerance. The test models 200 ms of delay instead of 120.

--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -23,14 +23,20 @@
 /// Part of the burst that is kept for requests that others admit meanwhile.
 const KEPT_BURST: f64 = 0.05;
 
-/// Debt, as a part of the burst, above which the parts are lowered until it is paid back.
-const DEBT_BURST: f64 = 0.1;
+/// Debt, as a part of the tolerance, above which the parts are lowered until it is paid back.
+const DEBT_ALLOWED: f64 = 0.25;
 
 /// Part of the rate that is admitted while there is debt.
 const DEBT_RATE: f64 = 0.9;
 
 /// Part of the tolerance that the buckets of all gateways may add to the limit together.
-const TOLERANCE_USED: f64 = 0.3;
+const TOLERANCE_USED: f64 = 0.2;
+
+/// Reports after which the demand of others is known; about ten reports come in a second.
+const OWN_REPORTS: usize = 2;
+
+/// Weight of the newest report in the part of this gateway; about ten reports come in a second.
+const SHARE_GAIN: f64 = 0.05;
 
 /// Age of the newest report above which the view of the bucket is out of date.
 const REPORT_VALID: Duration = Duration::from_millis(700);
@@ -73,6 +79,10 @@
     /// Newest demand of all gateways and the part of it that was asked for here.
     total_per_s: f64,
     own_per_s: f64,
+    /// Own demand in the newest reports, the oldest one first.
+    own_before: [f64; OWN_REPORTS],
+    /// Averaged part of this gateway in the demand; `None` before the first report.
+    share: Option<f64>,
 }
 
 /// Views of all organisations.
@@ -122,6 +132,7 @@
             view.others_admitted = Some(others);
             view.total_per_s = f64::from(total.rate_per_s);
             view.own_per_s = f64::from(own_per_s);
+            view.update_share();
         }
     }
 
@@ -168,7 +179,7 @@
         view.fade(now);
         view.demand_per_s += 1.0 / DEMAND_WINDOW_S;
         let depth = 1.0 + tolerance * TOLERANCE_USED / gateways;
-        let rate = view.fill(limit, depth, gateways, now);
+        let rate = view.fill(limit, depth, tolerance * DEBT_ALLOWED, gateways, now);
         let unseen = (view.total_per_s - view.own_per_s).max(0.0) * REPORT_DELAY_S;
         let kept = unseen + 1.0 + KEPT_BURST * limit.burst;
         if is_current && view.level >= kept {
@@ -198,22 +209,44 @@
             others_admitted: None,
             total_per_s: 0.0,
             own_per_s: 0.0,
+            own_before: [0.0; OWN_REPORTS],
+            share: None,
         }
     }
 
+    /// A few requests a second are spread unevenly, so their part is averaged over many reports.
+    ///
+    /// What is known of other gateways is older than the own demand. When the demand rises, comparing
+    /// the newest own demand with it would give each gateway too large a part.
+    fn update_share(&mut self) {
+        let own_then = self.own_before[0];
+        self.own_before.rotate_left(1);
+        self.own_before[OWN_REPORTS - 1] = self.own_per_s;
+        let total_then = self.total_per_s - self.own_per_s + own_then;
+        if total_then <= 0.0 {
+            return;
+        }
+        let newest = (own_then / total_then).clamp(0.0, 1.0);
+        let share = self.share.get_or_insert(newest);
+        *share += (newest - *share) * SHARE_GAIN;
+    }
+
     /// Adds the tokens of the time since the last call; returns the rate of this gateway's part.
-    fn fill(&mut self, limit: Limit, depth: f64, gateways: f64, now: Duration) -> f64 {
+    fn fill(
+        &mut self,
+        limit: Limit,
+        depth: f64,
+        debt_allowed: f64,
+        gateways: f64,
+        now: Duration,
+    ) -> f64 {
         let elapsed = now.saturating_sub(self.filled_at).as_secs_f64();
         self.filled_at = now;
         let capacity = limit.burst.max(1.0);
         self.level = (self.level.min(capacity) + elapsed * limit.rate_per_s).min(capacity);
-        let share = if self.total_per_s > 0.0 {
-            (self.own_per_s / self.total_per_s).clamp(0.0, 1.0)
-        } else {
-            1.0 / gateways
-        };
+        let share = self.share.unwrap_or(1.0 / gateways);
         let mut rate = limit.rate_per_s * share;
-        if self.level < -DEBT_BURST * limit.burst {
+        if self.level < -debt_allowed {
             rate *= DEBT_RATE;
         }
         self.part = (self.part + elapsed * rate).min(depth);
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -13,7 +13,7 @@
 const STEP: Duration = Duration::from_millis(1);
 /// Steps between two reports of one gateway, and until a report is known everywhere.
 const REPORT_STEPS: u64 = 110;
-const DELAY_STEPS: u64 = 120;
+const DELAY_STEPS: u64 = 200;
 const WINDOW: Duration = Duration::from_secs(5);
 
 struct Run {
