--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -105,7 +105,10 @@
             hard_state.term = last_term;
             hard_state.voted_for = None;
         }
-        let timeout = rng.random_range(config.election_ticks..2 * config.election_ticks);
+        // A replica that starts campaigns early, so that a group whose processes all ended has a leader
+        // soon. The pre-vote keeps it from disturbing a leader that the others hear.
+        let earliest = (config.election_ticks / 3).max(2 * config.heartbeat_ticks + 1);
+        let timeout = rng.random_range(earliest..config.election_ticks.max(earliest + 1));
         Ok(Self {
             rng,
             hard_state,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,8 +10,8 @@
 use radishpaddle_model::{OrganisationDemand, RoutingConfig, RoutingTable};
 use radishpaddle_wire::PollReply;
 use serde_json::json;
-use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use crate::backend_connection::BackendConnection;
@@ -48,6 +48,8 @@
     service_times: Mutex<HashMap<Arc<str>, ServiceTime>>,
     /// Local time at which the newest proof of the coordinators began.
     proved_at: Mutex<Option<Duration>>,
+    /// Whether there was a proof since the start.
+    started: watch::Sender<bool>,
 }
 
 /// Handle to a running gateway.
@@ -76,6 +78,7 @@
             quota: Mutex::new(Quota::new(settings.quota.clone())),
             service_times: Mutex::default(),
             proved_at: Mutex::default(),
+            started: watch::Sender::new(false),
             settings,
         });
         let callers = CallerListener::bind(Arc::clone(&shared)).await?;
@@ -146,6 +149,14 @@
         self.proof_age().is_some_and(|age| age <= limit)
     }
 
+    /// Waits for the first proof after the start of the process, until a deadline at most. Requests that
+    /// arrive a moment before it would be refused otherwise.
+    pub async fn wait_for_start(&self, deadline: Instant) {
+        let mut started = self.started.subscribe();
+        // Without a proof the request is refused as usual.
+        let _ = timeout_at(deadline, started.wait_for(|started| *started)).await;
+    }
+
     /// Takes the answer of a coordinator to a poll that was sent at `sent_at`.
     pub fn apply(&self, reply: PollReply, sent_at: Duration) {
         let now = boot_clock::now();
@@ -187,6 +198,7 @@
             let proved_at = sent_at.saturating_sub(Duration::from_millis(age_ms.into()));
             let mut known = lock(&self.proved_at);
             *known = Some(known.map_or(proved_at, |known| known.max(proved_at)));
+            self.started.send_if_modified(|started| !std::mem::replace(started, true));
         }
     }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -26,6 +26,10 @@
 /// Longest time that a refused caller is told to wait.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// Longest wait for the first configuration after the start of the process. A group of coordinators that
+/// starts at the same time needs this long to elect a leader.
+const START_WAIT: Duration = Duration::from_millis(900);
+
 /// Part of the deadline that is kept for the way back to the caller.
 const RETURN_TIME: Duration = Duration::from_millis(8);
 
@@ -53,6 +57,7 @@
     let id = request.headers().get(&shared.headers.request_id).cloned();
     let mut trace = Trace::default();
     let (parts, body) = request.into_parts();
+    shared.wait_for_start(started_at + START_WAIT).await;
     let table = shared.table();
     let result = serve(shared, &table, parts, body, started_at, &mut trace).await;
     drop(progress);
