Let a replica that lost its vote join again

Ruled out: its paths, its disk, a lost leader. Change: a replica that is told of its removal joins as a learner; votes are removed after 12 s.

--- a/crates/coordinator/src/settings.rs
+++ b/crates/coordinator/src/settings.rs
@@ -41,7 +41,7 @@
 }
 
 const fn default_repair_after_ms() -> u64 {
-    6_000
+    12_000
 }
 
 const fn default_address_ttl_ms() -> u64 {
--- a/crates/replication/src/replica_task.rs
+++ b/crates/replication/src/replica_task.rs
@@ -1,6 +1,6 @@
 //! The task that owns the consensus replica and the state that is derived from its log.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -337,6 +337,7 @@
                 contacts: settings.contacts.clone(),
                 voters: settings.voters,
                 next_join_tick: 0,
+                removed: false,
                 view: &view,
                 storage_works: true,
             };
@@ -399,6 +400,8 @@
     contacts: Vec<SocketAddr>,
     voters: VoterTarget,
     next_join_tick: u32,
+    /// Whether another member told that this replica lost its vote.
+    removed: bool,
     view: &'a watch::Sender<ReplicaView<S>>,
     storage_works: bool,
 }
@@ -438,9 +441,14 @@
             let target = self.replica.live_members().max(least);
             self.replica.set_target_voters(target);
         }
-        // A learner that was removed is not told; it asks again when it hears of no leader.
+        if self.replica.leader().is_some() {
+            self.removed = false;
+            return;
+        }
+        // A learner that was removed is not told; it asks again when it hears of no leader. A removed
+        // voter still knows the membership from before its removal.
         let outside = !self.replica.membership().is_voter(self.replica.id());
-        if outside && self.replica.leader().is_none() {
+        if outside || self.removed {
             self.ask_to_join();
         }
     }
@@ -534,8 +542,11 @@
         let Ok(bytes) = radishpaddle_wire::encode(&join) else {
             return;
         };
-        for contact in self.contacts.clone() {
-            let address: Arc<str> = contact.to_string().into();
+        let contacts = self.contacts.iter().map(|contact| contact.to_string().into());
+        let members = self.replica.membership().members.values();
+        let members = members.map(|member| Arc::clone(&member.address));
+        let asked: BTreeSet<Arc<str>> = contacts.chain(members).collect();
+        for address in asked {
             if address != self.own_address {
                 self.deliver(&address, request::Kind::Join(bytes.clone()));
             }
@@ -572,6 +583,7 @@
             self.finish_read(read);
         }
         for notice in ready.notices {
+            self.removed |= notice == Notice::Removed;
             report(&notice);
         }
         self.maybe_snapshot();
--- /dev/null
+++ b/crates/replication/tests/rejoin.rs
@@ -0,0 +1,167 @@
+//! A replica that was unreachable for so long that it lost its vote gets it back.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Result;
+use radishpaddle_consensus::{MemberRole, Message, ReplicaId, Role};
+use radishpaddle_replication::{ReplicaHandle, ReplicaSettings, ReplicatedState, VoterTarget};
+use radishpaddle_wire::message::{Empty, Hello, request, response};
+use radishpaddle_wire::{
+    ClientIdentity, PROTOCOL_VERSION, PeerHandler, PeerIdentity, PeerSecurity, PeerServer,
+    ServerIdentity, decode,
+};
+
+const REPLICAS: usize = 4;
+const REPAIR_AFTER: Duration = Duration::from_millis(1_500);
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Sum of the committed numbers.
+#[derive(Debug, Clone, Default)]
+struct Sum(u64);
+
+impl ReplicatedState for Sum {
+    type Command = u64;
+    type Outcome = u64;
+
+    fn apply(&mut self, command: &u64) -> Result<u64> {
+        self.0 += command;
+        Ok(self.0)
+    }
+
+    fn encode(&self) -> Result<Vec<u8>> {
+        Ok(self.0.to_be_bytes().to_vec())
+    }
+
+    fn decode(bytes: &[u8]) -> Result<Self> {
+        if bytes.is_empty() {
+            return Ok(Self::default());
+        }
+        Ok(Self(u64::from_be_bytes(bytes.try_into()?)))
+    }
+}
+
+struct Handler(ReplicaHandle<Sum>);
+
+impl PeerHandler for Handler {
+    async fn handle(&self, _peer: PeerIdentity, request: request::Kind) -> response::Kind {
+        match request {
+            request::Kind::Consensus(bytes) => {
+                self.0.receive(Message::decode(&bytes).unwrap()).await;
+            }
+            request::Kind::Join(bytes) => {
+                let (id, address): (u64, String) = decode(&bytes).unwrap();
+                self.0.join(ReplicaId(id), address.into()).await;
+            }
+            _ => (),
+        }
+        response::Kind::Empty(Empty {})
+    }
+}
+
+struct Node {
+    address: SocketAddr,
+    replica: ReplicaHandle<Sum>,
+    server: Option<PeerServer>,
+}
+
+impl Node {
+    async fn listen(&mut self) {
+        let identity = ServerIdentity {
+            hello: hello(),
+            security: PeerSecurity::Plain,
+        };
+        let handler = Arc::new(Handler(self.replica.clone()));
+        let server = PeerServer::bind(self.address, identity, handler).await;
+        self.server = Some(server.unwrap());
+    }
+}
+
+fn hello() -> Hello {
+    Hello {
+        fleet: "test".to_owned(),
+        instance: "replica".to_owned(),
+        incarnation: 1,
+        protocol_version: PROTOCOL_VERSION,
+    }
+}
+
+async fn group(directory: &Path) -> Vec<Node> {
+    let addresses: Vec<SocketAddr> = (0..REPLICAS).map(|_| free_address()).collect();
+    let mut nodes = Vec::new();
+    for (index, address) in addresses.iter().enumerate() {
+        let settings = ReplicaSettings {
+            data_directory: directory.join(index.to_string()),
+            own_address: *address,
+            contacts: addresses.clone(),
+            voters: VoterTarget::Live { least: 3 },
+            repair_after: REPAIR_AFTER,
+            found: index == 0,
+        };
+        let identity = ClientIdentity {
+            hello: hello(),
+            security: PeerSecurity::Plain,
+        };
+        let mut node = Node {
+            address: *address,
+            replica: ReplicaHandle::open(settings, identity).unwrap(),
+            server: None,
+        };
+        node.listen().await;
+        nodes.push(node);
+    }
+    nodes
+}
+
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+async fn eventually(what: &str, mut condition: impl FnMut() -> bool) {
+    let waited = tokio::time::timeout(PATIENCE, async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    });
+    assert!(waited.await.is_ok(), "not within {PATIENCE:?}: {what}");
+}
+
+fn voters(node: &Node) -> usize {
+    node.replica.view().membership.voters().count()
+}
+
+/// Guards against a replica that stays outside for good: it still knows the membership from before its
+/// removal, counts itself as a voter there, and so never asked to join again.
+#[tokio::test]
+async fn a_removed_replica_joins_again() {
+    let directory = tempfile::tempdir().unwrap();
+    let mut nodes = group(directory.path()).await;
+    eventually("all replicas vote", || nodes.iter().all(|node| voters(node) == REPLICAS)).await;
+    let away = nodes
+        .iter()
+        .position(|node| node.replica.view().role == Role::Follower)
+        .unwrap();
+    let leader = nodes
+        .iter()
+        .position(|node| node.replica.view().role == Role::Leader)
+        .unwrap();
+
+    nodes[away].server = None;
+    eventually("the silent replica loses its vote", || voters(&nodes[leader]) == REPLICAS - 1).await;
+    nodes[leader].replica.propose(5).await.unwrap();
+    nodes[away].listen().await;
+
+    eventually("the replica votes again", || {
+        let view = nodes[leader].replica.view();
+        let id = nodes[away].replica.view().id;
+        view.membership.role(id) == Some(MemberRole::Voter)
+    })
+    .await;
+    eventually("the replica has what it missed", || {
+        nodes[away].replica.view().state.0 == 5
+    })
+    .await;
+}
