Satisfy the linter in the gateway, the coordinator and the adapter

Cause: clippy pedantic was not run on the new crates. Change: names, enums in place of flags, no behaviour.

--- a/crates/control/src/parts.rs
+++ b/crates/control/src/parts.rs
@@ -40,7 +40,8 @@
 fn replica(context: Arc<Context>) -> PluginFuture<Result<Running>> {
     Box::pin(async move {
         let settings = context.get::<ControlSettings>()?;
-        let replica = crate::replica::open(&settings, client_identity(&context, &settings.common)?)?;
+        let replica =
+            crate::replica::open(&settings, client_identity(&context, &settings.common)?)?;
         context.provide(Arc::new(replica.clone()));
         tokio::spawn(follow_readiness(
             replica.watch(),
--- a/crates/coordinator/src/board.rs
+++ b/crates/coordinator/src/board.rs
@@ -88,7 +88,12 @@
     }
 
     /// Takes the report of a gateway that polls here.
-    pub fn report(&mut self, presence: GatewayPresence, evidence: &[ServerEvidence], now: Duration) {
+    pub fn report(
+        &mut self,
+        presence: GatewayPresence,
+        evidence: &[ServerEvidence],
+        now: Duration,
+    ) {
         let gateway = radishpaddle_model::short_key(&presence.instance);
         for item in evidence {
             self.add_evidence(gateway, *item);
@@ -188,8 +193,7 @@
     pub fn demand(&self, now: Duration) -> (Vec<OrganisationDemand>, u32) {
         let mut rates: HashMap<&Arc<str>, f32> = HashMap::new();
         let counted = self.gateways.values();
-        let counted =
-            counted.filter(|known| now.saturating_sub(known.heard_at) <= GATEWAY_COUNTED);
+        let counted = counted.filter(|known| now.saturating_sub(known.heard_at) <= GATEWAY_COUNTED);
         let mut gateways = 0;
         for known in counted {
             gateways += 1;
@@ -197,11 +201,14 @@
                 *rates.entry(&demand.organisation).or_default() += demand.rate_per_s;
             }
         }
-        let total = self.admitted.iter().map(|(organisation, admitted)| OrganisationDemand {
-            organisation: Arc::clone(organisation),
-            rate_per_s: rates.get(organisation).copied().unwrap_or_default(),
-            admitted: *admitted,
-        });
+        let total = self
+            .admitted
+            .iter()
+            .map(|(organisation, admitted)| OrganisationDemand {
+                organisation: Arc::clone(organisation),
+                rate_per_s: rates.get(organisation).copied().unwrap_or_default(),
+                admitted: *admitted,
+            });
         (total.collect(), gateways)
     }
 
@@ -222,7 +229,10 @@
                 demands.find(|before| before.organisation == demand.organisation)
             });
             let before = before.map_or(0, |before| before.admitted);
-            let total = self.admitted.entry(Arc::clone(&demand.organisation)).or_default();
+            let total = self
+                .admitted
+                .entry(Arc::clone(&demand.organisation))
+                .or_default();
             *total += demand.admitted.saturating_sub(before);
         }
     }
--- a/crates/coordinator/src/confirm.rs
+++ b/crates/coordinator/src/confirm.rs
@@ -45,7 +45,10 @@
     /// Age of the newest proof. Begins a new one when it is older than [`PROOF_PERIOD`].
     #[must_use]
     pub fn proof_age(&self) -> Option<Duration> {
-        let proved_at = *self.proved_at.lock().unwrap_or_else(PoisonError::into_inner);
+        let proved_at = *self
+            .proved_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         let age = proved_at.map(|at| boot_clock::now().saturating_sub(at));
         if age.is_none_or(|age| age > PROOF_PERIOD) {
             // Nobody waits for the result itself; a full queue means that a proof is on its way.
@@ -105,9 +108,12 @@
 #[derive(Clone)]
 pub struct LeaderClient {
     identity: ClientIdentity,
-    current: Arc<Mutex<Option<(Arc<str>, PeerClient)>>>,
+    current: Arc<Mutex<Option<LeaderConnection>>>,
 }
 
+/// Address of a leader, and the connection to it.
+type LeaderConnection = (Arc<str>, PeerClient);
+
 impl LeaderClient {
     /// Client that connects when it is used.
     #[must_use]
@@ -122,10 +128,7 @@
     #[must_use]
     pub fn of(&self, replica: &ReplicaHandle<CoordinatorState>) -> Option<PeerClient> {
         let leader = replica.view().leader?;
-        let mut current = self
-            .current
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut current = self.current.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some((address, client)) = &*current
             && *address == leader
         {
@@ -139,10 +142,7 @@
 
     /// Drops the connection, so that the next call makes a new one: an open one may be silent for good.
     pub fn reset(&self) {
-        *self
-            .current
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = None;
+        *self.current.lock().unwrap_or_else(PoisonError::into_inner) = None;
     }
 
     async fn read_index(&self, replica: &ReplicaHandle<CoordinatorState>) -> Option<u64> {
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -11,8 +11,7 @@
 use radishpaddle_wire::message::{Hello, request};
 use radishpaddle_wire::{
     ClientIdentity, GatewayPoll, PROTOCOL_VERSION, PeerSecurity, PeerServer, PollReply,
-    PresenceExchange,
-    ServerIdentity, ServerNews, WireError, decode_response,
+    PresenceExchange, ServerIdentity, ServerNews, WireError, decode_response,
 };
 use serde_json::json;
 use tokio::sync::Notify;
@@ -89,12 +88,10 @@
     news: Notify,
     log: DecisionLog,
     metrics: CoordinatorMetrics,
-    _peers: PeerServerSlot,
+    /// Bound after the coordinator exists, since it answers with it.
+    peers: Mutex<Option<PeerServer>>,
 }
 
-/// The peer server is bound after the coordinator exists, since it answers with it.
-type PeerServerSlot = Mutex<Option<PeerServer>>;
-
 impl Coordinator {
     /// Opens the data directory, binds the peer address and starts the tasks.
     ///
@@ -127,7 +124,7 @@
             news: Notify::new(),
             log,
             metrics: CoordinatorMetrics::register()?,
-            _peers: Mutex::default(),
+            peers: Mutex::default(),
             settings,
         };
         let coordinator = Self {
@@ -143,7 +140,8 @@
         let server = PeerServer::bind(address, server_identity, handler)
             .await
             .with_context(|| format!("peer address {address}"))?;
-        *coordinator.shared._peers.lock().unwrap_or_else(PoisonError::into_inner) = Some(server);
+        let peers = coordinator.shared.peers.lock();
+        *peers.unwrap_or_else(PoisonError::into_inner) = Some(server);
         exchange::spawn(coordinator.clone(), identity);
         tokio::spawn(follow_replica(coordinator.clone()));
         Ok(coordinator)
@@ -177,9 +175,11 @@
     fn log_config(&self, version: u64, outcome: &str) {
         let in_force = self.version();
         self.shared.metrics.submission(outcome);
-        self.shared.log.record("config_submitted", Keep::Each, || {
-            json!({"version": version, "in_force": in_force, "outcome": outcome})
-        });
+        self.shared.log.record(
+            "config_submitted",
+            Keep::Each,
+            || json!({"version": version, "in_force": in_force, "outcome": outcome}),
+        );
     }
 
     /// The newest configuration.
@@ -189,9 +189,11 @@
     /// Fails when this instance cannot prove that its state is current.
     pub async fn read_config(&self) -> Result<Option<Arc<StoredConfig>>, ReadError> {
         if !self.shared.confirmer.confirm().await {
-            self.shared.log.record("config_read", Keep::Each, || {
-                json!({"outcome": "not_current", "version": self.version()})
-            });
+            self.shared.log.record(
+                "config_read",
+                Keep::Each,
+                || json!({"outcome": "not_current", "version": self.version()}),
+            );
             return Err(ReadError::NotCurrent);
         }
         Ok(self.shared.replica.view().state.config().cloned())
@@ -204,7 +206,7 @@
     ///
     /// Fails when a retirement is not known to be committed.
     pub async fn announce(&self, presence: &ServerPresence) -> Result<(), AnnounceError> {
-        self.board().announce(presence, self.now());
+        self.board().announce(presence, boot_clock::now());
         self.shared.metrics.announcements.inc();
         if presence.state == BackendState::Serving {
             return Ok(());
@@ -224,7 +226,11 @@
     ///
     /// Fails when the retirement is not known to be committed.
     pub async fn leave(&self, id: &str, started_at_ms: Option<u64>) -> Result<(), AnnounceError> {
-        let known = self.board().table.get(id).map(|entry| entry.presence.started_at_ms);
+        let known = self
+            .board()
+            .table
+            .get(id)
+            .map(|entry| entry.presence.started_at_ms);
         let now_ms = radishpaddle_kernel::incarnation::unix_ms();
         let retirement = Retirement {
             id: id.into(),
@@ -242,10 +248,12 @@
         } else {
             self.commit(&Command::Retire(retirement.clone())).await
         };
-        self.shared.log.record("backend_server_retired", Keep::Each, || {
-            json!({"backend_server": retirement.id, "started_at_ms": retirement.started_at_ms,
+        self.shared
+            .log
+            .record("backend_server_retired", Keep::Each, || {
+                json!({"backend_server": retirement.id, "started_at_ms": retirement.started_at_ms,
                    "state": retirement.state, "outcome": format!("{result:?}")})
-        });
+            });
         result.map(|_| ()).map_err(|_| AnnounceError::Unavailable)
     }
 
@@ -254,14 +262,14 @@
     pub fn addresses(&self, zone: Option<&str>) -> (Vec<SocketAddr>, Duration) {
         self.shared.metrics.lookups.inc();
         let ttl = Duration::from_millis(self.shared.settings.address_ttl_ms);
-        (self.board().addresses(zone, self.now()), ttl)
+        (self.board().addresses(zone, boot_clock::now()), ttl)
     }
 
     /// Metrics as text.
     #[must_use]
     pub fn metrics(&self) -> String {
         let view = self.shared.replica.view();
-        let (_, gateways) = self.board().demand(self.now());
+        let (_, gateways) = self.board().demand(boot_clock::now());
         let servers = self.board().table.entries().count();
         self.shared.metrics.render(&view, servers, gateways)
     }
@@ -323,12 +331,18 @@
     pub async fn poll(&self, poll: GatewayPoll) -> PollReply {
         self.shared.metrics.polls.inc();
         let has_failures = poll.evidence.iter().any(|item| item.failed > 0);
-        self.board().report(poll.presence.clone(), &poll.evidence, self.now());
+        self.board()
+            .report(poll.presence.clone(), &poll.evidence, boot_clock::now());
         if has_failures {
             self.shared.news.notify_waiters();
         }
         // An answer without a recent proof is of little use, so it waits for one.
-        if self.shared.confirmer.proof_age().is_none_or(|age| age > OLD_PROOF) {
+        if self
+            .shared
+            .confirmer
+            .proof_age()
+            .is_none_or(|age| age > OLD_PROOF)
+        {
             let _ = timeout(PROOF_WAIT, self.shared.confirmer.confirm()).await;
         }
         let hold_until = Instant::now() + POLL_HOLD;
@@ -376,9 +390,9 @@
         } else {
             poll.evidence_position
         };
-        let (demand, gateways) = board.demand(self.now());
-        let complete_after = Duration::from_millis(self.shared.settings.heartbeat_ms)
-            * COMPLETE_AFTER_PERIODS;
+        let (demand, gateways) = board.demand(boot_clock::now());
+        let complete_after =
+            Duration::from_millis(self.shared.settings.heartbeat_ms) * COMPLETE_AFTER_PERIODS;
         let moved = whole || poll.applied_index != view.applied_index;
         PollReply {
             coordinator: self.shared.incarnation,
@@ -410,7 +424,9 @@
     pub fn coordinators(&self) -> Vec<SocketAddr> {
         let view = self.shared.replica.view();
         let members = view.membership.members.values();
-        members.filter_map(|member| member.address.parse().ok()).collect()
+        members
+            .filter_map(|member| member.address.parse().ok())
+            .collect()
     }
 
     fn coordinators_with_zones(&self, board: &Board) -> Vec<(SocketAddr, Option<Arc<str>>)> {
@@ -446,12 +462,10 @@
 
     /// Soft state.
     pub(crate) fn board(&self) -> MutexGuard<'_, Board> {
-        self.shared.board.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Local time, suspensions of the machine included.
-    pub(crate) fn now(&self) -> Duration {
-        boot_clock::now()
+        self.shared
+            .board
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Wakes polls that wait for news.
--- a/crates/coordinator/src/exchange.rs
+++ b/crates/coordinator/src/exchange.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use radishpaddle_kernel::boot_clock;
 use radishpaddle_wire::message::request;
 use radishpaddle_wire::{ClientIdentity, PeerClient, PresenceExchange};
 use tokio::time::MissedTickBehavior;
@@ -38,7 +39,7 @@
     let mut peers: HashMap<SocketAddr, Peer> = HashMap::new();
     loop {
         ticks.tick().await;
-        let now = coordinator.now();
+        let now = boot_clock::now();
         let news = {
             let mut board = coordinator.board();
             board.expire(now);
@@ -91,7 +92,7 @@
         }
         let batch = if self.life == 0 {
             self.waiting.clear();
-            coordinator.board().everything(coordinator.now())
+            coordinator.board().everything(boot_clock::now())
         } else {
             join(news, std::mem::take(&mut self.waiting))
         };
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -51,10 +51,16 @@
             polls: counter("gateway_polls_total", "Polls of gateways.")?,
             lookups: counter("lookups_total", "Address lookups of callers.")?,
             submissions,
-            version: gauge("config_version", "Version of the configuration applied here.")?,
+            version: gauge(
+                "config_version",
+                "Version of the configuration applied here.",
+            )?,
             leads: gauge("leads", "1 while this coordinator leads.")?,
             voters: gauge("voters", "Members of the group that vote.")?,
-            storage_works: gauge("storage_works", "1 while the data directory can be written.")?,
+            storage_works: gauge(
+                "storage_works",
+                "1 while the data directory can be written.",
+            )?,
             servers: gauge("backend_servers", "Backend servers in the table.")?,
             gateways: gauge("gateways", "Gateways that were heard lately.")?,
             registry,
--- a/crates/coordinator/src/peer_handler.rs
+++ b/crates/coordinator/src/peer_handler.rs
@@ -1,9 +1,11 @@
 //! Requests of other coordinators and of gateways.
 
 use radishpaddle_consensus::{Message, ReplicaId};
+use radishpaddle_kernel::boot_clock;
 use radishpaddle_wire::message::{Empty, failure, request, response};
 use radishpaddle_wire::{
-    GatewayPoll, PeerHandler, PeerIdentity, PresenceExchange, WireError, decode, encode, failure as refusal,
+    GatewayPoll, PeerHandler, PeerIdentity, PresenceExchange, WireError, decode, encode,
+    failure as refusal,
 };
 use serde::Serialize;
 
@@ -57,7 +59,7 @@
 
     fn exchange(&self, bytes: &[u8]) -> Answered {
         let exchange: PresenceExchange = decode(bytes)?;
-        self.coordinator.board().merge(exchange, self.coordinator.now());
+        self.coordinator.board().merge(exchange, boot_clock::now());
         self.coordinator.notify();
         payload(&self.coordinator.incarnation())
     }
--- a/crates/coordinator/src/state.rs
+++ b/crates/coordinator/src/state.rs
@@ -61,7 +61,9 @@
     /// Version in force; 0 before the first one.
     #[must_use]
     pub fn version(&self) -> u64 {
-        self.config.as_ref().map_or(0, |stored| stored.config.version)
+        self.config
+            .as_ref()
+            .map_or(0, |stored| stored.config.version)
     }
 
     /// Whether this life of the backend server was retired.
@@ -97,7 +99,11 @@
             return Outcome::Unchanged;
         }
         let id = Arc::clone(&retirement.id);
-        if self.retired.insert(Arc::clone(&id), retirement.clone()).is_none() {
+        if self
+            .retired
+            .insert(Arc::clone(&id), retirement.clone())
+            .is_none()
+        {
             self.order.push_back(id);
         }
         while self.order.len() > MAX_RETIREMENTS {
--- a/crates/coordinator/src/table.rs
+++ b/crates/coordinator/src/table.rs
@@ -11,7 +11,7 @@
 const SILENT_AFTER_PERIODS: u32 = 4;
 
 /// A backend server that was silent for this long is forgotten.
-const FORGET_AFTER: Duration = Duration::from_secs(60);
+const FORGET_AFTER: Duration = Duration::from_mins(1);
 
 /// One backend server.
 #[derive(Debug, Clone)]
@@ -67,6 +67,7 @@
     }
 
     /// Entries that changed after a position, and names that were removed after it.
+    #[must_use]
     pub fn since(&self, position: u64) -> (Vec<&TableEntry>, Vec<Arc<str>>) {
         let changed = self.entries.values();
         let changed = changed.filter(|entry| entry.changed > position).collect();
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -79,7 +79,8 @@
     fn drop(&mut self) {
         if !self.finished {
             // The caller is gone: that says nothing about the server.
-            self.shared.finish_attempt(self.id, AttemptResult::Neutral, None);
+            self.shared
+                .finish_attempt(self.id, AttemptResult::Neutral, None);
         }
     }
 }
@@ -115,7 +116,9 @@
             }
             let is_last = runs + 1 >= self.rule.max_attempts;
             let idempotent = self.rule.idempotent;
-            let chosen = self.shared.choose(&self.service, idempotent, is_last, &excluded);
+            let chosen = self
+                .shared
+                .choose(&self.service, idempotent, is_last, &excluded);
             let Some(chosen) = chosen else {
                 break otherwise;
             };
@@ -177,33 +180,39 @@
     }
 
     async fn send(&self, connection: BackendConnection, server: &str) -> Sending {
-        let request = self.request.attempt(server, self.left(), &self.shared.headers);
+        let request = self
+            .request
+            .attempt(server, self.left(), &self.shared.headers);
         let started_at = Instant::now();
         let slow_after = self.shared.slow_after(&self.rule.name);
         let sending = connection.send(request, &self.shared.headers.request_id);
         tokio::pin!(sending);
         let slow_at = (started_at + slow_after).min(self.deadline);
         let mut overdue = false;
-        let sent = match timeout_at(slow_at, &mut sending).await {
-            Ok(sent) => Some(sent),
-            Err(_) => {
-                // Waiting goes on: a late answer is delivered as well.
-                overdue = true;
-                self.shared.note(server, AttemptResult::Failed);
-                timeout_at(self.deadline, &mut sending).await.ok()
-            }
+        let sent = if let Ok(sent) = timeout_at(slow_at, &mut sending).await {
+            Some(sent)
+        } else {
+            // Waiting goes on: a late answer is delivered as well.
+            overdue = true;
+            self.shared.note(server, AttemptResult::Failed);
+            timeout_at(self.deadline, &mut sending).await.ok()
         };
         match sent {
             Some(Sent::Answered(answer, connection)) => {
                 if !overdue && answer.status.is_success() {
-                    self.shared.record_time(&self.rule.name, started_at.elapsed());
+                    self.shared
+                        .record_time(&self.rule.name, started_at.elapsed());
                 }
                 self.answered(answer, connection, overdue)
             }
             Some(Sent::NotSent) => not_sent("not_sent", AttemptResult::Neutral),
             Some(Sent::Unknown(failure)) => self.unknown(failure, overdue),
             None => {
-                let result = if overdue { AttemptResult::Neutral } else { AttemptResult::Failed };
+                let result = if overdue {
+                    AttemptResult::Neutral
+                } else {
+                    AttemptResult::Failed
+                };
                 (Next::End(Err(Refusal::TimedOut)), result, "timed_out", None)
             }
         }
@@ -228,7 +237,12 @@
             } else {
                 AttemptResult::Succeeded
             };
-            return (Next::End(Ok(passed_on(answer))), result, "answered", connection);
+            return (
+                Next::End(Ok(passed_on(answer))),
+                result,
+                "answered",
+                connection,
+            );
         }
         // A server that says 503 or 429 without the proof may have run the request, and these
         // statuses would promise the opposite.
@@ -247,7 +261,11 @@
         } else {
             Next::End(end)
         };
-        let result = if overdue { AttemptResult::Neutral } else { AttemptResult::Failed };
+        let result = if overdue {
+            AttemptResult::Neutral
+        } else {
+            AttemptResult::Failed
+        };
         (next, result, "server_error", connection)
     }
 
@@ -266,7 +284,11 @@
         } else {
             Next::End(Err(Refusal::OutcomeUnknown))
         };
-        let result = if overdue { AttemptResult::Neutral } else { AttemptResult::Failed };
+        let result = if overdue {
+            AttemptResult::Neutral
+        } else {
+            AttemptResult::Failed
+        };
         (next, result, name, None)
     }
 }
--- a/crates/gateway/src/backend_connection.rs
+++ b/crates/gateway/src/backend_connection.rs
@@ -133,7 +133,9 @@
                 return Sent::Unknown(failure);
             }
         };
-        if response.headers().get(id_header) != id.as_ref() && response.headers().contains_key(id_header) {
+        if response.headers().get(id_header) != id.as_ref()
+            && response.headers().contains_key(id_header)
+        {
             return Sent::Unknown(SendFailure::AnswerCrossed);
         }
         match collect(response).await {
@@ -156,13 +158,17 @@
         if headers.get_all(CONNECTION).iter().any(closes) {
             return false;
         }
-        let told = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+        let told = headers
+            .get("keep-alive")
+            .and_then(|value| value.to_str().ok());
         let told = told.and_then(|text| {
             let mut parts = text.split(',').map(str::trim);
             parts.find_map(|part| part.strip_prefix("timeout=")?.parse::<u64>().ok())
         });
         if let Some(seconds) = told {
-            self.idle_limit = Duration::from_secs(seconds).mul_f64(IDLE_USED).min(DEFAULT_IDLE);
+            self.idle_limit = Duration::from_secs(seconds)
+                .mul_f64(IDLE_USED)
+                .min(DEFAULT_IDLE);
         }
         true
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -72,7 +72,12 @@
 impl ForwardRequest {
     /// Takes over what may be forwarded.
     #[must_use]
-    pub fn new(mut parts: Parts, body: Bytes, organisation: Option<&str>, headers: &Headers) -> Self {
+    pub fn new(
+        mut parts: Parts,
+        body: Bytes,
+        organisation: Option<&str>,
+        headers: &Headers,
+    ) -> Self {
         strip(&mut parts.headers);
         parts.headers.remove(&headers.organisation);
         parts.headers.remove(&headers.expected_server);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -198,7 +198,8 @@
             let proved_at = sent_at.saturating_sub(Duration::from_millis(age_ms.into()));
             let mut known = lock(&self.proved_at);
             *known = Some(known.map_or(proved_at, |known| known.max(proved_at)));
-            self.started.send_if_modified(|started| !std::mem::replace(started, true));
+            self.started
+                .send_if_modified(|started| !std::mem::replace(started, true));
         }
     }
 
@@ -208,9 +209,11 @@
             return;
         }
         let before = table.config().version;
-        self.log.record("config_applied", Keep::Each, || {
-            json!({"version": config.version, "before": before})
-        });
+        self.log.record(
+            "config_applied",
+            Keep::Each,
+            || json!({"version": config.version, "before": before}),
+        );
         let version = i64::try_from(config.version).unwrap_or(i64::MAX);
         self.metrics.config_version.set(version);
         *table = Arc::new(RoutingTable::new(config.clone()));
--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -47,7 +47,8 @@
         let prior = self.failing(now);
         let power = |base: f64, count: u32| base.powi(i32::try_from(count).unwrap_or(i32::MAX));
         let failing = prior * power(FAILING_FAILS, failed) * power(1.0 - FAILING_FAILS, succeeded);
-        let sound = (1.0 - prior) * power(SOUND_FAILS, failed) * power(1.0 - SOUND_FAILS, succeeded);
+        let sound =
+            (1.0 - prior) * power(SOUND_FAILS, failed) * power(1.0 - SOUND_FAILS, succeeded);
         self.failing = (failing / (failing + sound)).clamp(LOWEST, HIGHEST);
         self.updated_at = now;
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -60,8 +60,14 @@
             in_progress: gauge("requests_in_progress", "Requests that are being served.")?,
             connections: gauge("caller_connections", "Open connections of callers.")?,
             config_version: gauge("config_version", "Version of the configuration in use.")?,
-            fresh: gauge("fresh", "1 while the configuration is proved to be current.")?,
-            log_dropped: gauge("log_lines_dropped", "Lines of the decision log not written.")?,
+            fresh: gauge(
+                "fresh",
+                "1 while the configuration is proved to be current.",
+            )?,
+            log_dropped: gauge(
+                "log_lines_dropped",
+                "Lines of the decision log not written.",
+            )?,
             registry,
         })
     }
--- a/crates/gateway/src/poll_task.rs
+++ b/crates/gateway/src/poll_task.rs
@@ -47,7 +47,11 @@
     };
     let task = PollTask {
         incarnation,
-        coordinators: settings.contacts.iter().map(|contact| (*contact, None)).collect(),
+        coordinators: settings
+            .contacts
+            .iter()
+            .map(|contact| (*contact, None))
+            .collect(),
         lost_at: HashMap::new(),
         client: None,
         identity,
@@ -141,7 +145,9 @@
         let settings = &self.shared.settings;
         let rank = |(address, zone): &(SocketAddr, Option<Arc<str>>)| {
             let lost_at = self.lost_at.get(address);
-            let lost_for = lost_at.map(Instant::elapsed).filter(|lost| *lost < AVOID_FOR);
+            let lost_for = lost_at
+                .map(Instant::elapsed)
+                .filter(|lost| *lost < AVOID_FOR);
             let far = zone.as_ref() != Some(&settings.zone);
             let hash = name_hash(&format!("{}{address}", settings.instance));
             // Of those that were lost lately, the one that was lost first.
@@ -190,9 +196,11 @@
             self.lost(address, "no recent proof");
         } else if !self.reachable {
             self.reachable = true;
-            self.shared.log.record("coordinator_regained", Keep::Each, || {
-                json!({"coordinator": address, "proof_age_ms": proof_age})
-            });
+            self.shared.log.record(
+                "coordinator_regained",
+                Keep::Each,
+                || json!({"coordinator": address, "proof_age_ms": proof_age}),
+            );
         }
     }
 
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -13,7 +13,7 @@
 use crate::backend_connection::BackendConnection;
 use crate::health::Health;
 use crate::retry_budget::RetryBudget;
-use crate::selection::{self, Candidate, Stake};
+use crate::selection::{self, Candidate, Stake, Standing};
 use crate::settings::RetryBudgetSettings;
 
 /// Idle connections that are kept per backend server.
@@ -176,7 +176,10 @@
         self.by_key.insert(key, Arc::clone(&presence.id));
         self.service_of
             .insert(Arc::clone(&presence.id), Arc::clone(&presence.service));
-        let servers = self.services.entry(Arc::clone(&presence.service)).or_default();
+        let servers = self
+            .services
+            .entry(Arc::clone(&presence.service))
+            .or_default();
         let warm_at = now + Duration::from_millis(presence.warmup_left_ms.into());
         match servers.get_mut(&presence.id) {
             Some(known) if known.presence.started_at_ms == presence.started_at_ms => {
@@ -187,7 +190,10 @@
             }
             Some(known) if known.presence.started_at_ms > presence.started_at_ms => (),
             _ => {
-                servers.insert(Arc::clone(&presence.id), Server::new(presence, key, warm_at, news.silent));
+                servers.insert(
+                    Arc::clone(&presence.id),
+                    Server::new(presence, key, warm_at, news.silent),
+                );
             }
         }
     }
@@ -234,8 +240,8 @@
             server.others.insert(gateway, (evidence.in_flight, now));
             server.used_at = now;
             let service = Arc::clone(&server.presence.service);
-            let (served, unserved) = (evidence.succeeded.into(), evidence.failed.into());
-            self.count_outcomes(&service, served, unserved, now);
+            let (good, bad) = (evidence.succeeded.into(), evidence.failed.into());
+            self.count_outcomes(&service, good, bad, now);
         }
     }
 
@@ -285,7 +291,9 @@
             candidates.push(server.candidate(index, &self.zone, now));
         }
         let index = selection::choose(&candidates, stake, &mut self.rng)?;
-        let candidate = candidates.iter().find(|candidate| candidate.index == index)?;
+        let candidate = candidates
+            .iter()
+            .find(|candidate| candidate.index == index)?;
         let server = servers.get_mut(&names[index])?;
         server.in_flight += 1;
         server.used_at = now;
@@ -301,7 +309,11 @@
     fn stake(&mut self, service: &str, idempotent: bool, is_last: bool, now: Duration) -> Stake {
         if idempotent {
             self.idempotent_at.insert(service.into(), now);
-            return if is_last { Stake::Final } else { Stake::Repeatable };
+            return if is_last {
+                Stake::Final
+            } else {
+                Stake::Repeatable
+            };
         }
         let seen = self.idempotent_at.get(service);
         if seen.is_some_and(|at| now.saturating_sub(*at) < IDEMPOTENT_SEEN) {
@@ -441,10 +453,16 @@
         } else {
             0
         };
+        let standing = if now < self.avoid_until {
+            Standing::Avoided
+        } else if self.health.is_suspect(now) {
+            Standing::Suspect
+        } else {
+            Standing::Good
+        };
         Candidate {
             index,
-            avoided: now < self.avoid_until,
-            suspect: self.health.is_suspect(now),
+            standing,
             failure_probability: self.health.failure_probability(now),
             in_flight: self.all_in_flight(now) + shed,
             slots: self.presence.slots,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -7,7 +7,9 @@
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::Request;
 use hyper::body::Incoming;
-use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, TRANSFER_ENCODING};
+use hyper::header::{
+    AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, TRANSFER_ENCODING,
+};
 use hyper::http::request::Parts;
 use radishpaddle_kernel::Keep;
 use radishpaddle_model::{KeyHash, Organisation, RoutePart, RoutingRule, RoutingTable};
@@ -74,7 +76,11 @@
     } else {
         Keep::Each
     };
-    let event = if keep == Keep::Sample { "request_served" } else { "request" };
+    let event = if keep == Keep::Sample {
+        "request_served"
+    } else {
+        "request"
+    };
     shared.log.record(event, keep, || {
         let proof_age = shared.proof_age();
         json!({"request_id": id.as_ref().and_then(|id| id.to_str().ok()),
@@ -143,11 +149,7 @@
     })
 }
 
-fn resolve(
-    shared: &Shared,
-    table: &RoutingTable,
-    parts: &Parts,
-) -> Result<Resolved, Refused> {
+fn resolve(shared: &Shared, table: &RoutingTable, parts: &Parts) -> Result<Resolved, Refused> {
     if table.config().version == 0 {
         return Err((Refusal::NotFresh, Some(RETRY_AFTER)));
     }
@@ -187,8 +189,8 @@
 /// Refuses what two programs could read in two ways.
 fn check_form(parts: &Parts) -> Result<(), Refused> {
     let repeated = |name: HeaderName| parts.headers.get_all(name).iter().count() > 1;
-    let lengths = parts.headers.contains_key(CONTENT_LENGTH)
-        && parts.headers.contains_key(TRANSFER_ENCODING);
+    let lengths =
+        parts.headers.contains_key(CONTENT_LENGTH) && parts.headers.contains_key(TRANSFER_ENCODING);
     if repeated(HOST) || repeated(AUTHORIZATION) || lengths || has_dot_segment(parts.uri.path()) {
         return Err((Refusal::BadRequest, None));
     }
@@ -197,8 +199,13 @@
 
 /// Whether a backend server that resolves dot segments would see another path.
 fn has_dot_segment(path: &str) -> bool {
-    let plain = path.to_ascii_lowercase().replace("%2e", ".").replace("%2f", "/");
-    plain.split('/').any(|segment| segment == "." || segment == "..")
+    let plain = path
+        .to_ascii_lowercase()
+        .replace("%2e", ".")
+        .replace("%2f", "/");
+    plain
+        .split('/')
+        .any(|segment| segment == "." || segment == "..")
 }
 
 fn admit(shared: &Shared, organisation: &Organisation) -> Result<(), Refused> {
@@ -209,9 +216,12 @@
         rate_per_s: organisation.rate_per_s,
         burst: organisation.burst,
     };
-    shared
-        .admit(&organisation.name, limit)
-        .map_err(|wait| (Refusal::OverQuota, Some(wait.clamp(RETRY_AFTER, MAX_RETRY_AFTER))))
+    shared.admit(&organisation.name, limit).map_err(|wait| {
+        (
+            Refusal::OverQuota,
+            Some(wait.clamp(RETRY_AFTER, MAX_RETRY_AFTER)),
+        )
+    })
 }
 
 /// Time for the request: the timeout of the route, or less when the caller waits for less.
@@ -271,7 +281,5 @@
 fn presented_key(headers: &HeaderMap) -> Option<&str> {
     let authorization = headers.get(AUTHORIZATION)?.to_str().ok()?;
     let (scheme, token) = authorization.split_once(' ')?;
-    scheme
-        .eq_ignore_ascii_case("bearer")
-        .then(|| token.trim())
+    scheme.eq_ignore_ascii_case("bearer").then(|| token.trim())
 }
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -28,15 +28,24 @@
 /// Random part, so that gateways with the same view do not all choose the same server.
 const SPREAD: f64 = 0.2;
 
+/// What is believed of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing speaks against it.
+    Good,
+    /// It is likely in a spell of failure.
+    Suspect,
+    /// This gateway failed to connect to it a moment ago.
+    Avoided,
+}
+
 /// What is known of a server when a request is placed.
 #[derive(Debug, Clone, Copy)]
 pub struct Candidate {
     /// Position in the pool.
     pub index: usize,
-    /// Whether this gateway failed to connect a moment ago.
-    pub avoided: bool,
-    /// Whether it is likely in a spell of failure.
-    pub suspect: bool,
+    /// What is believed of it.
+    pub standing: Standing,
     /// Probability that the next request fails.
     pub failure_probability: f64,
     /// Requests in flight from all gateways, as far as known.
@@ -57,7 +66,7 @@
 const TRIAL_DUE: Duration = Duration::from_millis(700);
 
 /// The same where only requests that cannot be repeated go to the service, and each trial may lose one.
-const COSTLY_TRIAL_DUE: Duration = Duration::from_millis(4_000);
+const COSTLY_TRIAL_DUE: Duration = Duration::from_secs(4);
 
 /// The same while the service serves badly: servers that recovered are then needed.
 const NEEDED_TRIAL_DUE: Duration = Duration::from_millis(1_100);
@@ -96,7 +105,7 @@
         && rng.random_bool(TRIAL_PROBABILITY)
     {
         let trial = |candidate: &&Candidate| {
-            candidate.suspect && !candidate.avoided && candidate.unused_for >= due
+            candidate.standing == Standing::Suspect && candidate.unused_for >= due
         };
         let trials: Vec<_> = candidates.iter().filter(trial).collect();
         if !trials.is_empty() {
@@ -106,7 +115,7 @@
     let mut best = |avoided: bool| {
         let fitting = candidates
             .iter()
-            .filter(|candidate| avoided || !candidate.avoided);
+            .filter(|candidate| avoided || candidate.standing != Standing::Avoided);
         let costs = fitting.map(|candidate| {
             let spread = rng.random_range(0.0..SPREAD);
             (candidate.index, cost(candidate, stake) + spread)
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -99,7 +99,12 @@
     pub fn check(&self, report: &mut Report) {
         report.range("freshness_limit_ms", self.freshness_limit_ms, 500, 600_000);
         report.range("retry_budget.ratio", self.retry_budget.ratio, 0.0, 10.0);
-        report.range("retry_budget.window_ms", self.retry_budget.window_ms, 100, 600_000);
+        report.range(
+            "retry_budget.window_ms",
+            self.retry_budget.window_ms,
+            100,
+            600_000,
+        );
         report.range("quota.window_ms", self.quota.window_ms, 100, 600_000);
         report.range("stop_deadline_ms", self.stop_deadline_ms, 0, 600_000);
         if self.contacts.is_empty() {
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -60,7 +60,11 @@
     reports[index].extend(own.iter().map(|demand| (step, demand.clone())));
     let known = reports.iter().enumerate().filter_map(|(other, reports)| {
         let visible = |at: u64| other == index || at + DELAY_STEPS <= step;
-        reports.iter().rev().find(|(at, _)| visible(*at)).map(|(_, demand)| demand)
+        reports
+            .iter()
+            .rev()
+            .find(|(at, _)| visible(*at))
+            .map(|(_, demand)| demand)
     });
     let mut total: Option<OrganisationDemand> = None;
     for demand in known {
@@ -97,6 +101,10 @@
     counts.max().unwrap_or(0)
 }
 
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap()
+}
+
 fn bound(limit: Limit) -> f64 {
     (limit.rate_per_s * WINDOW.as_secs_f64() + limit.burst) * 1.1 + 20.0
 }
@@ -112,9 +120,9 @@
         };
         for seed in 0..5 {
             let run = run(limit, 30, seed, |_| demand);
-            let asked = run.admitted.len() + run.refused as usize;
+            let asked = count(run.admitted.len()) + run.refused;
             assert!(
-                f64::from(run.refused) <= 0.002 * asked as f64 + 1.0,
+                f64::from(run.refused) <= 0.002 * f64::from(asked) + 1.0,
                 "rate {rate}, seed {seed}: {} of {asked} refused",
                 run.refused
             );
@@ -132,11 +140,17 @@
             burst: rate,
         };
         for seed in 0..5 {
-            let hot = |at: f64| if (5.0..14.0).contains(&at) { rate * 4.7 } else { rate * 0.62 };
+            let hot = |at: f64| {
+                if (5.0..14.0).contains(&at) {
+                    rate * 4.7
+                } else {
+                    rate * 0.62
+                }
+            };
             let run = run(limit, 20, seed, hot);
             let busiest = busiest_window(&run.admitted);
             assert!(
-                busiest as f64 <= bound(limit),
+                f64::from(count(busiest)) <= bound(limit),
                 "rate {rate}, seed {seed}: {busiest} in a window, bound {}",
                 bound(limit)
             );
@@ -155,7 +169,7 @@
         let run = run(limit, 40, 3, |_| demand);
         let owed = rate * 40.0 + rate;
         assert!(
-            run.admitted.len() as f64 >= 0.9 * owed,
+            f64::from(count(run.admitted.len())) >= 0.9 * owed,
             "rate {rate}: {} of {owed} owed were admitted",
             run.admitted.len()
         );
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -128,7 +128,9 @@
     #[error("the weights of route {0} are negative or add up to 0")]
     Weights(Arc<str>),
     /// The route has no time or no attempt.
-    #[error("route {0} needs a timeout above 0, at least one attempt and an objective near its timeout")]
+    #[error(
+        "route {0} needs a timeout above 0, at least one attempt and an objective near its timeout"
+    )]
     Bounds(Arc<str>),
     /// The prefix does not begin with a slash.
     #[error("the path prefix of route {0} does not begin with a slash")]
@@ -199,7 +201,9 @@
         if !self.parts.iter().all(valid) || total <= 0.0 {
             return Err(RoutingError::Weights(name()));
         }
-        let objective_limit = self.timeout_ms.saturating_add(MAX_OBJECTIVE_OVER_TIMEOUT_MS);
+        let objective_limit = self
+            .timeout_ms
+            .saturating_add(MAX_OBJECTIVE_OVER_TIMEOUT_MS);
         if self.timeout_ms == 0 || self.max_attempts == 0 || self.objective_ms >= objective_limit {
             return Err(RoutingError::Bounds(name()));
         }
@@ -230,7 +234,9 @@
         }
         let keys = config.organisations.iter().enumerate();
         let keys = keys
-            .flat_map(|(index, organisation)| organisation.keys.iter().map(move |key| (*key, index)))
+            .flat_map(|(index, organisation)| {
+                organisation.keys.iter().map(move |key| (*key, index))
+            })
             .collect();
         Self {
             config,
--- a/crates/replication/src/replica_task.rs
+++ b/crates/replication/src/replica_task.rs
@@ -542,7 +542,10 @@
         let Ok(bytes) = radishpaddle_wire::encode(&join) else {
             return;
         };
-        let contacts = self.contacts.iter().map(|contact| contact.to_string().into());
+        let contacts = self
+            .contacts
+            .iter()
+            .map(|contact| contact.to_string().into());
         let members = self.replica.membership().members.values();
         let members = members.map(|member| Arc::clone(&member.address));
         let asked: BTreeSet<Arc<str>> = contacts.chain(members).collect();
@@ -594,7 +597,10 @@
             Payload::Data(bytes) => match self.apply_command(bytes) {
                 Ok(outcome) => Some(outcome),
                 Err(error) => {
-                    log::error!("replica: entry {} cannot be applied: {error:#}", entry.index);
+                    log::error!(
+                        "replica: entry {} cannot be applied: {error:#}",
+                        entry.index
+                    );
                     self.storage_works = false;
                     None
                 }
--- a/crates/replication/tests/rejoin.rs
+++ b/crates/replication/tests/rejoin.rs
@@ -139,7 +139,10 @@
 async fn a_removed_replica_joins_again() {
     let directory = tempfile::tempdir().unwrap();
     let mut nodes = group(directory.path()).await;
-    eventually("all replicas vote", || nodes.iter().all(|node| voters(node) == REPLICAS)).await;
+    eventually("all replicas vote", || {
+        nodes.iter().all(|node| voters(node) == REPLICAS)
+    })
+    .await;
     let away = nodes
         .iter()
         .position(|node| node.replica.view().role == Role::Follower)
@@ -150,7 +153,10 @@
         .unwrap();
 
     nodes[away].server = None;
-    eventually("the silent replica loses its vote", || voters(&nodes[leader]) == REPLICAS - 1).await;
+    eventually("the silent replica loses its vote", || {
+        voters(&nodes[leader]) == REPLICAS - 1
+    })
+    .await;
     nodes[leader].replica.propose(5).await.unwrap();
     nodes[away].listen().await;
 
