Try the backend server that waited longest for a request first

Ruled out: more trials by chance (the retry budget is used up by them). Tests: crates/gateway/tests/selection.rs.

--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -62,7 +62,7 @@
     pub unused_for: Duration,
 }
 
-/// Time without any known request after which a suspect is due for a trial.
+/// Time without any known request after which a server is due for a trial.
 const TRIAL_DUE: Duration = Duration::from_millis(700);
 
 /// The same where only requests that cannot be repeated go to the service, and each trial may lose one.
@@ -71,10 +71,13 @@
 /// The same while the service serves badly: servers that recovered are then needed.
 const NEEDED_TRIAL_DUE: Duration = Duration::from_millis(1_100);
 
-/// Probability that a fitting request is the trial of a suspect that is due. Other gateways learn of a
+/// Probability that a fitting request is the trial of a server that is due. Other gateways learn of a
 /// trial a fraction of a second later, and all of them would make it.
 const TRIAL_PROBABILITY: f64 = 0.4;
 
+/// The same when it has waited for twice the time.
+const OVERDUE_TRIAL_PROBABILITY: f64 = 0.9;
+
 /// What a failure of the attempt means to the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stake {
@@ -102,14 +105,16 @@
         Stake::FinalWithoutTrials { degraded: false } => Some(COSTLY_TRIAL_DUE),
     };
     if let Some(due) = due
-        && rng.random_bool(TRIAL_PROBABILITY)
+        && let Some(trial) = longest_unused(candidates, due)
     {
-        let trial = |candidate: &&Candidate| {
-            candidate.standing == Standing::Suspect && candidate.unused_for >= due
+        let overdue = trial.unused_for >= due * 2;
+        let probability = if overdue {
+            OVERDUE_TRIAL_PROBABILITY
+        } else {
+            TRIAL_PROBABILITY
         };
-        let trials: Vec<_> = candidates.iter().filter(trial).collect();
-        if !trials.is_empty() {
-            return Some(trials[rng.random_range(0..trials.len())].index);
+        if rng.random_bool(probability) {
+            return Some(trial.index);
         }
     }
     let mut best = |avoided: bool| {
@@ -127,6 +132,15 @@
     best(false).or_else(|| best(true))
 }
 
+/// The server that has waited longest for a request, so that every one of them gets its turn. It need not
+/// be a suspect: one that is believed in half costs more than the others and would get nothing either.
+fn longest_unused(candidates: &[Candidate], due: Duration) -> Option<&Candidate> {
+    candidates
+        .iter()
+        .filter(|candidate| candidate.standing != Standing::Avoided && candidate.unused_for >= due)
+        .max_by_key(|candidate| candidate.unused_for)
+}
+
 fn cost(candidate: &Candidate, stake: Stake) -> f64 {
     let failure_cost = match stake {
         Stake::Repeatable => FAILURE_COST_REPEATABLE,
--- /dev/null
+++ b/crates/gateway/tests/selection.rs
@@ -0,0 +1,141 @@
+//! Choice of backend servers by belief, load and place.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use radishpaddle_gateway::health::Health;
+use radishpaddle_gateway::selection::{Candidate, Stake, Standing, choose};
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+
+fn server(index: usize) -> Candidate {
+    Candidate {
+        index,
+        standing: Standing::Good,
+        failure_probability: 0.016,
+        in_flight: 1,
+        slots: 3,
+        same_zone: true,
+        warming_up: false,
+        silent: false,
+        unused_for: Duration::ZERO,
+    }
+}
+
+fn suspect(index: usize, unused_for: Duration) -> Candidate {
+    Candidate {
+        standing: Standing::Suspect,
+        failure_probability: 0.5,
+        in_flight: 0,
+        unused_for,
+        ..server(index)
+    }
+}
+
+/// Guards against a recovered server that waits in vain because trials are drawn by chance: with ten
+/// suspects one of them got nothing for two seconds.
+#[test]
+fn every_suspect_gets_its_trial_in_turn() {
+    const SUSPECTS: usize = 10;
+    const REQUEST_PERIOD: Duration = Duration::from_millis(40);
+    let longest_wait = Duration::from_secs(2);
+    for seed in 0..50 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut used_at = [Duration::ZERO; SUSPECTS];
+        let mut now = Duration::ZERO;
+        while now < Duration::from_secs(20) {
+            now += REQUEST_PERIOD;
+            let mut candidates = vec![server(SUSPECTS)];
+            for (index, used_at) in used_at.iter().enumerate() {
+                candidates.push(suspect(index, now - *used_at));
+            }
+
+            let chosen = choose(&candidates, Stake::Repeatable, &mut rng).unwrap();
+
+            if chosen < SUSPECTS {
+                used_at[chosen] = now;
+            }
+            for (index, used_at) in used_at.iter().enumerate() {
+                let waited = now - *used_at;
+                assert!(waited <= longest_wait, "seed {seed}, suspect {index}: {waited:?}");
+            }
+        }
+    }
+}
+
+/// Guards against a server that is believed in half and gets nothing for seconds: it costs more than the
+/// others, and it is no suspect that would get trials.
+#[test]
+fn a_half_believed_server_gets_requests() {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let doubted = Candidate {
+        failure_probability: 0.12,
+        unused_for: Duration::from_millis(1_500),
+        ..server(1)
+    };
+    let candidates = [server(0), doubted, server(2)];
+    let chosen = (0..100).filter(|_| choose(&candidates, Stake::Repeatable, &mut rng) == Some(1));
+    assert!(chosen.count() > 50);
+}
+
+/// Guards against an action lost as a trial while idempotent requests can make it.
+#[test]
+fn actions_avoid_suspects() {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let candidates = [server(0), suspect(1, Duration::from_secs(60))];
+    for _ in 0..1_000 {
+        assert_eq!(choose(&candidates, Stake::Final, &mut rng), Some(0));
+    }
+}
+
+/// Guards against a service without idempotent requests whose recovered servers are never used again.
+#[test]
+fn actions_try_suspects_where_nothing_else_can() {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let candidates = [server(0), suspect(1, Duration::from_secs(3))];
+    let stake = Stake::FinalWithoutTrials { degraded: true };
+    let trials = (0..1_000).filter(|_| choose(&candidates, stake, &mut rng) == Some(1));
+    assert!(trials.count() > 300);
+}
+
+/// Guards against an empty answer when this gateway can connect to no server: the last one is tried.
+#[test]
+fn avoided_servers_are_the_last_resort() {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let avoided = Candidate {
+        standing: Standing::Avoided,
+        ..server(0)
+    };
+    assert_eq!(choose(&[avoided], Stake::Final, &mut rng), Some(0));
+    assert_eq!(choose(&[avoided, server(1)], Stake::Final, &mut rng), Some(1));
+    assert_eq!(choose(&[], Stake::Final, &mut rng), None);
+}
+
+/// Guards against one gateway loading a few servers: equal servers get about the same.
+#[test]
+fn equal_servers_share_the_load() {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let candidates: Vec<_> = (0..6).map(server).collect();
+    let mut counts: HashMap<usize, u32> = HashMap::new();
+    for _ in 0..6_000 {
+        let chosen = choose(&candidates, Stake::Final, &mut rng).unwrap();
+        *counts.entry(chosen).or_default() += 1;
+    }
+    assert!(counts.values().all(|count| (800..1_200).contains(count)), "{counts:?}");
+}
+
+/// Guards against slow suspicion: background errors are rare, so a few failures decide, and a few
+/// successes decide back.
+#[test]
+fn a_few_results_decide() {
+    let mut health = Health::default();
+    let now = Duration::from_secs(100);
+    assert!(!health.is_suspect(now));
+    health.record(0, 1, now);
+    assert!(health.is_suspect(now));
+    health.record(4, 0, now);
+    assert!(!health.is_suspect(now));
+    health.record(0, 3, now);
+    assert!(health.is_suspect(now + Duration::from_secs(2)));
+    assert!(!health.is_suspect(now + Duration::from_secs(30)));
+}
