--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -66,7 +66,7 @@
         (false, None, Some(file)) => Ok(Command::Restore {
             settings,
             file,
-            above: above.context("--restore needs --above REVISION, see docs/operations.md")?,
+            above: above.context("--restore needs --above REVISION, see docs/OPERATIONS.md")?,
         }),
         _ => bail!("only one of --found, --export and --restore"),
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -237,8 +237,13 @@
             server
                 .health
                 .record(evidence.succeeded.into(), evidence.failed.into(), now);
-            server.others.insert(gateway, (evidence.in_flight, now));
-            server.used_at = now;
+            let before = server.others.insert(gateway, (evidence.in_flight, now));
+            let before = before.map_or(0, |(in_flight, _)| u32::from(in_flight));
+            // A request that hangs is in flight for long; only new ones count as use.
+            let ended = u32::from(evidence.succeeded) + u32::from(evidence.failed);
+            if u32::from(evidence.in_flight) + ended > before {
+                server.used_at = now;
+            }
             let service = Arc::clone(&server.presence.service);
             let (good, bad) = (evidence.succeeded.into(), evidence.failed.into());
             self.count_outcomes(&service, good, bad, now);
--- a/crates/gateway/tests/selection.rs
+++ b/crates/gateway/tests/selection.rs
@@ -47,7 +47,7 @@
             now += REQUEST_PERIOD;
             let mut candidates = vec![server(SUSPECTS)];
             for (index, used_at) in used_at.iter().enumerate() {
-                candidates.push(suspect(index, now - *used_at));
+                candidates.push(suspect(index, now.saturating_sub(*used_at)));
             }
 
             let chosen = choose(&candidates, Stake::Repeatable, &mut rng).unwrap();
@@ -56,8 +56,11 @@
                 used_at[chosen] = now;
             }
             for (index, used_at) in used_at.iter().enumerate() {
-                let waited = now - *used_at;
-                assert!(waited <= longest_wait, "seed {seed}, suspect {index}: {waited:?}");
+                let waited = now.saturating_sub(*used_at);
+                assert!(
+                    waited <= longest_wait,
+                    "seed {seed}, suspect {index}: {waited:?}"
+                );
             }
         }
     }
@@ -82,7 +85,7 @@
 #[test]
 fn actions_avoid_suspects() {
     let mut rng = SmallRng::seed_from_u64(7);
-    let candidates = [server(0), suspect(1, Duration::from_secs(60))];
+    let candidates = [server(0), suspect(1, Duration::from_mins(1))];
     for _ in 0..1_000 {
         assert_eq!(choose(&candidates, Stake::Final, &mut rng), Some(0));
     }
@@ -107,7 +110,10 @@
         ..server(0)
     };
     assert_eq!(choose(&[avoided], Stake::Final, &mut rng), Some(0));
-    assert_eq!(choose(&[avoided, server(1)], Stake::Final, &mut rng), Some(1));
+    assert_eq!(
+        choose(&[avoided, server(1)], Stake::Final, &mut rng),
+        Some(1)
+    );
     assert_eq!(choose(&[], Stake::Final, &mut rng), None);
 }
 
@@ -121,7 +127,10 @@
         let chosen = choose(&candidates, Stake::Final, &mut rng).unwrap();
         *counts.entry(chosen).or_default() += 1;
     }
-    assert!(counts.values().all(|count| (800..1_200).contains(count)), "{counts:?}");
+    assert!(
+        counts.values().all(|count| (800..1_200).contains(count)),
+        "{counts:?}"
+    );
 }
 
 /// Guards against slow suspicion: background errors are rare, so a few failures decide, and a few
