Trace a request from collected decision logs

Cause: an engineer with nothing but logs needs the way from the id of a request to its cause in one command. Change: radishpaddlectl trace ID FILE... prints the outcome, what it promises, each attempt with its inputs, what others met at the same backend server, and what the gateway believed before.

--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -25,6 +25,7 @@
   changes                          list the newest changes
   status                           show the control group and the spread of the configuration
   explain                          show the events of an instance, see --instance
+  trace ID FILE...                 explain a request from collected decision logs
 
 Options:
   --control ADDRESS   operator address of a control instance; may be repeated
@@ -86,6 +87,8 @@
     Status,
     /// Show the events of an instance.
     Explain,
+    /// Explain a request from files of decision logs.
+    Trace(String, Vec<PathBuf>),
 }
 
 /// Parses the arguments. Prints help or version and exits when asked.
@@ -152,6 +155,10 @@
         ["changes"] => Command::Changes,
         ["status"] => Command::Status,
         ["explain"] => Command::Explain,
+        ["trace", id, file, files @ ..] => {
+            let files = std::iter::once(file).chain(files);
+            Command::Trace((*id).to_owned(), files.map(PathBuf::from).collect())
+        }
         _ => bail!("unknown or incomplete command\n\n{USAGE}"),
     })
 }
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -11,7 +11,7 @@
 
 use crate::arguments::{Command, Invocation};
 use crate::client::{OperatorClient, SubmissionHeaders};
-use crate::output;
+use crate::{output, trace};
 
 /// Pause between two looks at the spread of a submission.
 const CONFIRM_PAUSE: Duration = Duration::from_millis(250);
@@ -25,6 +25,10 @@
     if invocation.command == Command::Explain {
         return explain(invocation);
     }
+    if let Command::Trace(id, files) = &invocation.command {
+        output::print(&trace::explain(id, files)?)?;
+        return Ok(());
+    }
     let client = OperatorClient::new(&invocation.controls, &invocation.token)?;
     let text = match &invocation.command {
         Command::Services => output::services(&client.get("/v1/services")?),
@@ -52,7 +56,7 @@
         }
         Command::Changes => output::pretty(&client.get("/v1/changes")?),
         Command::Status => output::pretty(&client.get("/v1/status")?),
-        Command::Explain => String::new(),
+        Command::Explain | Command::Trace(..) => String::new(),
     };
     output::print(&text)?;
     Ok(())
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod client;
 pub mod command;
 pub mod output;
+pub mod trace;
--- /dev/null
+++ b/crates/ctl/tests/trace.rs
@@ -0,0 +1,56 @@
+//! The way from the id of a failed request to its cause.
+
+use std::path::PathBuf;
+
+use radishpaddle_ctl::trace::explain;
+
+const LINES: &str = r#"
+  27.1 front-1 {"at_unix_ms":97100,"instance":"front-1","event":"coordinator_lost","coordinator":"10.1.0.8:7660","reason":"peer did not answer in time","proof_age_ms":"640"}
+{"at_unix_ms":99500,"instance":"front-2","event":"request","request_id":"b2","outcome":"outcome_unknown","elapsed_ms":1,"deadline_ms":2000,"attempts":[{"server":"i-7f","result":"connection_lost","elapsed_ms":1,"failure_probability":0.02,"in_flight":1,"reused":false}]}
+{"at_unix_ms":100000,"instance":"front-1","event":"request","request_id":"a1","route":"holds","service":"avail","organisation":"estate","outcome":"outcome_unknown","elapsed_ms":2,"deadline_ms":2000,"config_version":7,"proof_age_ms":120,"attempts":[{"server":"i-7f","result":"connection_lost","elapsed_ms":1,"failure_probability":0.4,"in_flight":0,"reused":true}]}
+not a line of the log
+{"at_unix_ms":100100,"instance":"front-1","event":"request","request_id":"c3","route":"holds","service":"avail","organisation":"estate","outcome":"over_quota","elapsed_ms":0,"deadline_ms":2000,"config_version":7,"proof_age_ms":90,"attempts":[]}
+"#;
+
+fn collected() -> (tempfile::TempDir, Vec<PathBuf>) {
+    let directory = tempfile::tempdir().unwrap();
+    let file = directory.path().join("gateways.log");
+    std::fs::write(&file, LINES).unwrap();
+    (directory, vec![file])
+}
+
+/// Guards against a complaint that nobody can follow: the outcome, the server, what others met there and
+/// what the gateway believed have to be in one place.
+#[test]
+fn a_lost_action_is_traced_to_its_server() {
+    let (_directory, files) = collected();
+
+    let text = explain("a1", &files).unwrap();
+
+    assert!(text.contains("may have run"), "{text}");
+    assert!(text.contains("i-7f"), "{text}");
+    assert!(text.contains("1 others there"), "{text}");
+    assert!(text.contains("coordinator_lost"), "{text}");
+    assert!(!text.contains("over_quota"), "{text}");
+}
+
+#[test]
+fn a_refusal_says_that_it_has_not_run() {
+    let (_directory, files) = collected();
+
+    let text = explain("c3", &files).unwrap();
+
+    assert!(
+        text.contains("not run: the organisation was over its limit"),
+        "{text}"
+    );
+}
+
+/// Guards against silence that looks like success.
+#[test]
+fn an_unknown_id_is_an_error() {
+    let (_directory, files) = collected();
+
+    assert!(explain("zz", &files).is_err());
+    assert!(explain("a1", &[PathBuf::from("missing.log")]).is_err());
+}
