Log the inputs of a refusal over the limit

Cause: a line said 'over_quota' without the tokens, the demand and the age of the reports that decided it. Change: the line carries them, and radishpaddlectl trace prints them.

--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -92,6 +92,14 @@
         "  {}",
         meaning(request["outcome"].as_str().unwrap_or_default())
     )?;
+    let over = &request["over_limit"];
+    if over.is_object() {
+        writeln!(
+            text,
+            "  limit: {} tokens in the fleet, {} here; {} requests/s asked of the fleet, reported {} ms ago",
+            over["level"], over["part"], over["fleet_per_s"], over["report_age_ms"]
+        )?;
+    }
     for attempt in request["attempts"].as_array().into_iter().flatten() {
         writeln!(
             text,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,7 +20,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::poll_task;
 use crate::pool::{AttemptResult, Chosen, Pools};
-use crate::quota::{FleetDemand, Limit, Quota};
+use crate::quota::{FleetDemand, Limit, OverLimit, Quota};
 use crate::selection::ServiceTime;
 use crate::settings::GatewaySettings;
 
@@ -268,7 +268,7 @@
         lock(&self.pools).random()
     }
 
-    pub(crate) fn admit(&self, organisation: &Arc<str>, limit: Limit) -> Result<(), Duration> {
+    pub(crate) fn admit(&self, organisation: &Arc<str>, limit: Limit) -> Result<(), OverLimit> {
         lock(&self.quota).admit(organisation, limit, boot_clock::now())
     }
 
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use radishpaddle_model::OrganisationDemand;
+use serde::Serialize;
 
 use crate::settings::QuotaSettings;
 
@@ -50,6 +51,22 @@
     pub burst: f64,
 }
 
+/// Why a request is over the limit of its organisation.
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize)]
+pub struct OverLimit {
+    /// Time until a request may be admitted.
+    pub wait_ms: u64,
+    /// Tokens of the whole fleet, as far as known here.
+    pub level: f64,
+    /// Tokens of this gateway's part.
+    pub part: f64,
+    /// Requests per second that the organisation asks for at all gateways.
+    pub fleet_per_s: f64,
+    /// Age of the newest report of the other gateways.
+    pub report_age_ms: Option<u64>,
+}
+
 /// What the coordinators know of the demand of all gateways.
 #[derive(Debug, Clone, Default)]
 pub struct FleetDemand {
@@ -154,7 +171,7 @@
         demands.filter(|demand| demand.admitted > 0).collect()
     }
 
-    /// Counts a request and tells whether it may run. Otherwise returns the time until one may.
+    /// Counts a request and tells whether it may run. Otherwise returns why not.
     ///
     /// # Errors
     ///
@@ -164,7 +181,7 @@
         organisation: &Arc<str>,
         limit: Limit,
         now: Duration,
-    ) -> Result<(), Duration> {
+    ) -> Result<(), OverLimit> {
         let gateways = f64::from(self.gateways);
         let window_s = Duration::from_millis(self.settings.window_ms).as_secs_f64();
         let tolerance = (limit.rate_per_s * window_s + limit.burst) * self.settings.overage
@@ -192,7 +209,14 @@
             return Ok(());
         }
         let missing = (1.0 - view.part) / rate.max(0.01);
-        Err(Duration::from_secs_f64(missing.min(60.0)))
+        let report_age = self.reported_at.map(|at| now.saturating_sub(at));
+        Err(OverLimit {
+            wait_ms: milliseconds(Duration::from_secs_f64(missing.min(60.0))),
+            level: view.level,
+            part: view.part,
+            fleet_per_s: view.total_per_s,
+            report_age_ms: report_age.map(milliseconds),
+        })
     }
 }
 
@@ -265,6 +289,10 @@
     }
 }
 
+fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 #[expect(
     clippy::cast_precision_loss,
     reason = "counts of one report period are far below 2^52"
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -20,7 +20,7 @@
 use crate::attempt::{AttemptRecord, RequestPlan};
 use crate::forward::ForwardRequest;
 use crate::gateway::Shared;
-use crate::quota::Limit;
+use crate::quota::{Limit, OverLimit};
 
 /// Time after which a caller may come back when no server could take its request.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -48,6 +48,7 @@
     service: Option<Arc<str>>,
     organisation: Option<Arc<str>>,
     attempts: Vec<AttemptRecord>,
+    over_limit: Option<OverLimit>,
     deadline_ms: u64,
 }
 
@@ -90,6 +91,7 @@
                "deadline_ms": trace.deadline_ms,
                "config_version": table.config().version,
                "proof_age_ms": proof_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+               "over_limit": trace.over_limit,
                "attempts": trace.attempts})
     });
     match result {
@@ -129,7 +131,7 @@
     let service = choose_part(&rule.parts, shared.random());
     trace.service = Some(Arc::clone(&service));
     if let Some(organisation) = organisation {
-        admit(shared, organisation).inspect_err(|_| shared.count_refused(&service))?;
+        admit(shared, organisation, trace).inspect_err(|_| shared.count_refused(&service))?;
     }
     shared.record_request(&service);
     let name = organisation.map(|organisation| &*organisation.name);
@@ -208,7 +210,7 @@
         .any(|segment| segment == "." || segment == "..")
 }
 
-fn admit(shared: &Shared, organisation: &Organisation) -> Result<(), Refused> {
+fn admit(shared: &Shared, organisation: &Organisation, trace: &mut Trace) -> Result<(), Refused> {
     if organisation.rate_per_s <= 0.0 {
         return Ok(());
     }
@@ -216,11 +218,11 @@
         rate_per_s: organisation.rate_per_s,
         burst: organisation.burst,
     };
-    shared.admit(&organisation.name, limit).map_err(|wait| {
-        (
-            Refusal::OverQuota,
-            Some(wait.clamp(RETRY_AFTER, MAX_RETRY_AFTER)),
-        )
+    shared.admit(&organisation.name, limit).map_err(|over| {
+        trace.over_limit = Some(over);
+        let wait = Duration::from_millis(over.wait_ms);
+        let wait = wait.clamp(RETRY_AFTER, MAX_RETRY_AFTER);
+        (Refusal::OverQuota, Some(wait))
     })
 }
 
