Remove code of the gateway that nothing uses

Cause: the hash of a request and the load of a service were written for parts that were not built. No behaviour changes; the quarantine of requests that crash backend servers is listed as open in DEVELOPERS.md.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -28,8 +28,6 @@
     NotRun,
     /// The time was over before a backend server got the request.
     ExpiredNotRun,
-    /// The request crashed backend servers before.
-    Quarantined,
     /// A backend server may have run the request; its answer is lost.
     OutcomeUnknown,
     /// The time is over; a backend server may have run the request.
@@ -46,11 +44,9 @@
             Self::KeyUnknown => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
-            Self::NotFresh
-            | Self::NoServer
-            | Self::NotRun
-            | Self::ExpiredNotRun
-            | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotFresh | Self::NoServer | Self::NotRun | Self::ExpiredNotRun => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -69,7 +65,6 @@
             Self::NoServer => "no_backend_server",
             Self::NotRun => "not_run",
             Self::ExpiredNotRun => "expired_not_run",
-            Self::Quarantined => "quarantined",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::TimedOut => "timed_out",
         }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -105,18 +105,6 @@
         }
         Request::from_parts(parts, Full::new(self.body.clone()))
     }
-
-    /// Hash of everything that makes two requests the same to a backend server.
-    #[must_use]
-    pub fn fingerprint(&self, organisation: Option<&str>) -> u64 {
-        use std::hash::{DefaultHasher, Hash as _, Hasher as _};
-        let mut hasher = DefaultHasher::new();
-        organisation.hash(&mut hasher);
-        self.parts.method.as_str().hash(&mut hasher);
-        self.parts.uri.hash(&mut hasher);
-        self.body.hash(&mut hasher);
-        hasher.finish()
-    }
 }
 
 /// Removes the headers that belong to one connection.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -343,23 +343,6 @@
         self.count_outcomes(service, 0.0, weight, now);
     }
 
-    /// Requests that the service can run at the same time at servers that take work, and those that are
-    /// known to be in flight.
-    #[must_use]
-    pub fn load(&self, service: &str, now: Duration) -> (u32, u32) {
-        let Some(servers) = self.services.get(service) else {
-            return (0, 0);
-        };
-        let mut load = (0, 0);
-        for (name, server) in servers {
-            if server.takes_work(self.retired.get(name)) {
-                load.0 += server.presence.slots;
-                load.1 += server.all_in_flight(now);
-            }
-        }
-        load
-    }
-
     /// Counts the end of an attempt and takes its connection back.
     pub fn finish(
         &mut self,
