--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -91,6 +91,19 @@
             .push(format!("{field} is \"{value}\"; allowed: {allowed}"));
     }
 
+    /// Ends the report.
+    ///
+    /// # Errors
+    ///
+    /// Returns one line for each field that is outside its range.
+    pub fn finish(self) -> Result<(), Vec<String>> {
+        if self.problems.is_empty() {
+            Ok(())
+        } else {
+            Err(self.problems)
+        }
+    }
+
     /// Adds the field when its value is outside the range.
     pub fn range<T: Copy + PartialOrd + fmt::Display>(
         &mut self,
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -2,10 +2,12 @@
 //! the application that every replica derives from the committed commands.
 
 pub mod disk;
-pub mod replica_task;
+pub mod handle;
+mod replica_task;
 pub mod state;
+mod supervisor;
 
-pub use replica_task::{
+pub use handle::{
     Confirmed, ReplicaError, ReplicaHandle, ReplicaSettings, ReplicaView, VoterTarget,
 };
 pub use state::ReplicatedState;
--- a/crates/replication/src/replica_task.rs
+++ b/crates/replication/src/replica_task.rs
@@ -2,31 +2,27 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::mpsc::Sender as JobSender;
 use std::time::Duration;
 
-use anyhow::{Context as _, Result};
+use anyhow::Result;
 use radishpaddle_consensus::{
-    Config, Entry, MemberRole, Membership, MembershipChange, Message, Notice, Payload,
-    PersistedState, ProposeError, ReadId, ReadResult, Ready, Replica, ReplicaId, Role,
+    Entry, MemberRole, MembershipChange, Message, Notice, Payload, ProposeError, ReadId,
+    ReadResult, Ready, Replica, ReplicaId, Role,
 };
-use radishpaddle_storage::Storage;
 use radishpaddle_wire::message::request;
 use radishpaddle_wire::{ClientIdentity, PeerClient};
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::disk::{self, DiskDone, DiskJob};
+use crate::disk::{DiskDone, DiskJob};
+use crate::handle::{
+    Command, Confirmed, ProposeReply, ReadReply, ReplicaError, ReplicaView, VoterTarget,
+};
 use crate::state::ReplicatedState;
 
-/// Period of ticks; the timing of [`Config`] counts in it.
-const TICK: Duration = Duration::from_millis(50);
-
-/// Commands that wait for the task.
-const COMMAND_QUEUE: usize = 1024;
+/// Period of ticks; the timing of the consensus configuration counts in it.
+pub(crate) const TICK: Duration = Duration::from_millis(50);
 
 /// Entries after which a snapshot is made, so that a restart reads few entries.
 const SNAPSHOT_EVERY: u64 = 2_000;
@@ -34,380 +30,41 @@
 /// Bytes of the log in memory after which a snapshot is made: the machines have 256 MB.
 const SNAPSHOT_LOG_BYTES: usize = 16 << 20;
 
-/// Pause after a failed write before the data directory is opened again.
-const REOPEN_AFTER: Duration = Duration::from_millis(500);
-
 /// Longest wait for the delivery of one consensus message.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Why a command gave no result.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ReplicaError {
-    /// Another replica leads, or none.
-    NotLeader,
-    /// Too much waits; nothing was done.
-    Busy,
-    /// The command is too large; nothing was done.
-    TooLarge,
-    /// Leadership was lost after the proposal; it may still be committed.
-    Unknown,
-    /// The data directory cannot be written.
-    StorageFailed,
-}
-
-/// What others may know of the replica.
-#[derive(Debug, Clone)]
-pub struct ReplicaView<S> {
-    /// Identity of the replica and its disk.
-    pub id: ReplicaId,
-    /// What it does.
-    pub role: Role,
-    /// Current term.
-    pub term: u64,
-    /// Peer address of the leader.
-    pub leader: Option<Arc<str>>,
-    /// Members of the group.
-    pub membership: Membership,
-    /// Index up to which the state is applied.
-    pub applied_index: u64,
-    /// Applied state. Changes may be newer at the leader.
-    pub state: Arc<S>,
-    /// Whether the data directory can be written.
-    pub storage_works: bool,
-}
-
-/// State that contains every command acknowledged before it was asked for.
-#[derive(Debug, Clone)]
-pub struct Confirmed<S> {
-    /// Index up to which the state is applied.
-    pub index: u64,
-    /// The state.
-    pub state: Arc<S>,
-}
-
-/// Number of voters that automatic repair aims for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum VoterTarget {
-    /// A number set by the operator.
-    Fixed(usize),
-    /// Every member that answers votes, up to the largest voting set, for groups whose size nobody
-    /// tells. Lost members are removed down to `least`.
-    Live {
-        /// Voters that are kept although some of them do not answer.
-        least: usize,
-    },
-}
-
-/// Settings of one replica.
-#[derive(Debug, Clone)]
-pub struct ReplicaSettings {
-    /// Directory of the log; used by one process at a time.
-    pub data_directory: PathBuf,
-    /// Address at which the other replicas reach this one.
-    pub own_address: SocketAddr,
-    /// Replicas that are asked to let this one join.
-    pub contacts: Vec<SocketAddr>,
-    /// Voters that repair aims for.
-    pub voters: VoterTarget,
-    /// Time after which an unreachable voter is replaced.
-    pub repair_after: Duration,
-    /// Whether an empty data directory founds a group. Exactly one replica of a fleet may.
-    pub found: bool,
-}
-
-enum Command<S: ReplicatedState> {
-    Propose(Box<S::Command>, oneshot::Sender<ProposeReply<S>>),
-    Read(oneshot::Sender<ReadReply<S>>),
-    Receive(Box<Message>),
-    Join(ReplicaId, Arc<str>),
-    Change(MembershipChange, oneshot::Sender<Result<(), ProposeError>>),
-    StepDown,
-}
-
-type ProposeReply<S> = Result<<S as ReplicatedState>::Outcome, ReplicaError>;
-type ReadReply<S> = Result<Confirmed<S>, ReplicaError>;
-
-/// Handle to the replica of this process.
-pub struct ReplicaHandle<S: ReplicatedState> {
-    commands: mpsc::Sender<Command<S>>,
-    view: watch::Receiver<ReplicaView<S>>,
-}
-
-impl<S: ReplicatedState> Clone for ReplicaHandle<S> {
-    fn clone(&self) -> Self {
-        Self {
-            commands: self.commands.clone(),
-            view: self.view.clone(),
-        }
-    }
-}
-
-impl<S: ReplicatedState> ReplicaHandle<S> {
-    /// Opens the data directory and starts the replica. When the disk fails later, the directory is
-    /// opened again until it works.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the data directory is in use, damaged, or holds something else.
-    pub fn open(settings: ReplicaSettings, identity: ClientIdentity) -> Result<Self> {
-        let opened = Opened::<S>::open(&settings)?;
-        let (commands, receiver) = mpsc::channel(COMMAND_QUEUE);
-        let (view, watch) = watch::channel(opened.view());
-        tokio::spawn(supervise(settings, identity, opened, receiver, view));
-        Ok(Self {
-            commands,
-            view: watch,
-        })
-    }
-
-    /// What is known of the replica now.
-    #[must_use]
-    pub fn view(&self) -> ReplicaView<S> {
-        self.view.borrow().clone()
-    }
-
-    /// Wakes on each change of [`Self::view`].
-    #[must_use]
-    pub fn watch(&self) -> watch::Receiver<ReplicaView<S>> {
-        self.view.clone()
-    }
-
-    /// Commits a command and returns its result.
-    ///
-    /// # Errors
-    ///
-    /// With `Unknown` the command may be committed later; every other error means that it is not.
-    pub async fn propose(&self, command: S::Command) -> ProposeReply<S> {
-        let (reply, answer) = oneshot::channel();
-        self.send(Command::Propose(Box::new(command), reply))
-            .await?;
-        answer.await.unwrap_or(Err(ReplicaError::Unknown))
-    }
-
-    /// State that contains every change that was acknowledged before the call.
-    ///
-    /// # Errors
-    ///
-    /// Fails when this replica does not lead or loses the leadership meanwhile.
-    pub async fn read(&self) -> Result<Arc<S>, ReplicaError> {
-        self.read_confirmed().await.map(|confirmed| confirmed.state)
-    }
-
-    /// Like [`Self::read`], with the index of the state.
-    ///
-    /// # Errors
-    ///
-    /// Fails when this replica does not lead or loses the leadership meanwhile.
-    pub async fn read_confirmed(&self) -> Result<Confirmed<S>, ReplicaError> {
-        let (reply, answer) = oneshot::channel();
-        self.send(Command::Read(reply)).await?;
-        answer.await.unwrap_or(Err(ReplicaError::NotLeader))
-    }
-
-    /// Takes a message of another replica.
-    pub async fn receive(&self, message: Message) {
-        let _ = self.send(Command::Receive(Box::new(message))).await;
-    }
-
-    /// Another replica asks to become a learner.
-    pub async fn join(&self, id: ReplicaId, address: Arc<str>) {
-        let _ = self.send(Command::Join(id, address)).await;
-    }
-
-    /// Proposes a change of the members.
-    ///
-    /// # Errors
-    ///
-    /// Fails when this replica does not lead or the change is not possible now.
-    pub async fn change_membership(&self, change: MembershipChange) -> Result<(), ProposeError> {
-        let (reply, answer) = oneshot::channel();
-        let not_leader = ProposeError::NotLeader { leader: None };
-        if self.send(Command::Change(change, reply)).await.is_err() {
-            return Err(not_leader);
-        }
-        answer.await.unwrap_or(Err(not_leader))
-    }
-
-    /// Hands the leadership over before a planned stop.
-    pub async fn step_down(&self) {
-        let _ = self.send(Command::StepDown).await;
-    }
-
-    async fn send(&self, command: Command<S>) -> Result<(), ReplicaError> {
-        let sent = self.commands.send(command).await;
-        sent.map_err(|_| ReplicaError::StorageFailed)
-    }
-}
-
-fn config(settings: &ReplicaSettings) -> Config {
-    let target_voters = match settings.voters {
-        VoterTarget::Fixed(voters) => voters,
-        VoterTarget::Live { least } => least,
-    };
-    let repair_after_ticks = settings.repair_after.as_millis() / TICK.as_millis();
-    Config {
-        target_voters,
-        repair_after_ticks: u32::try_from(repair_after_ticks).unwrap_or(u32::MAX),
-        ..Config::default()
-    }
-}
-
-/// A data directory that was read.
-struct Opened<S> {
-    storage: Storage,
-    replica: Replica,
-    state: Arc<S>,
-    snapshot_index: u64,
-}
-
-impl<S: ReplicatedState> Opened<S> {
-    fn open(settings: &ReplicaSettings) -> Result<Self> {
-        let (mut storage, recovered) =
-            Storage::open(&settings.data_directory, disk::new_replica_id())?;
-        if recovered.cut_bytes > 0 {
-            let bytes = recovered.cut_bytes;
-            log::warn!("replica: {bytes} bytes of an interrupted write were cut off");
-        }
-        let mut persisted = disk::persisted_state(&recovered)?;
-        let is_empty = persisted.snapshot.is_none() && persisted.entries.is_empty();
-        if settings.found && is_empty {
-            let id = persisted.hard_state.replica_id;
-            persisted = PersistedState::founding(id, settings.own_address.to_string().into());
-            let snapshot = persisted.snapshot.as_ref();
-            let snapshot = snapshot.context("a founding state has a snapshot")?;
-            let hard_state = disk::stored_hard_state(&persisted.hard_state);
-            storage.found(hard_state, disk::stored_snapshot(snapshot))?;
-            log::info!("replica: {id} founds a group");
-        }
-        let state = match &persisted.snapshot {
-            Some(snapshot) => S::decode(&snapshot.data).context("reading the newest snapshot")?,
-            None => S::default(),
-        };
-        let snapshot_index = persisted.snapshot.as_ref().map_or(0, |old| old.meta.index);
-        let replica = Replica::new(config(settings), persisted, SmallRng::from_os_rng())?;
-        Ok(Self {
-            storage,
-            replica,
-            state: Arc::new(state),
-            snapshot_index,
-        })
-    }
-
-    fn view(&self) -> ReplicaView<S> {
-        ReplicaView {
-            id: self.replica.id(),
-            role: self.replica.role(),
-            term: self.replica.term(),
-            leader: None,
-            membership: self.replica.membership().clone(),
-            applied_index: self.snapshot_index,
-            state: Arc::clone(&self.state),
-            storage_works: true,
-        }
-    }
-}
-
-/// Runs the replica, and opens the data directory again after a failed write: a full disk may have
-/// room again.
-async fn supervise<S: ReplicatedState>(
-    settings: ReplicaSettings,
-    identity: ClientIdentity,
-    opened: Opened<S>,
-    mut commands: mpsc::Receiver<Command<S>>,
-    view: watch::Sender<ReplicaView<S>>,
-) {
-    let mut next = Some(opened);
-    loop {
-        if let Some(opened) = next.take() {
-            view.send_modify(|known| *known = opened.view());
-            let (done, finished) = mpsc::unbounded_channel();
-            let task = ReplicaTask {
-                replica: opened.replica,
-                state: opened.state,
-                jobs: disk::spawn(opened.storage, done),
-                after_sync: HashMap::new(),
-                snapshot_index: opened.snapshot_index,
-                saving_snapshot: false,
-                proposals: BTreeMap::new(),
-                reads: HashMap::new(),
-                next_read: 0,
-                peers: HashMap::new(),
-                identity: identity.clone(),
-                own_address: settings.own_address.to_string().into(),
-                contacts: settings.contacts.clone(),
-                voters: settings.voters,
-                next_join_tick: 0,
-                removed: false,
-                view: &view,
-                storage_works: true,
-            };
-            if task.run(&mut commands, finished).await == End::HandlesDropped {
-                return;
-            }
-        }
-        let reopen_at = tokio::time::Instant::now() + REOPEN_AFTER;
-        while let Ok(command) = tokio::time::timeout_at(reopen_at, commands.recv()).await {
-            match command {
-                Some(command) => command.fail(),
-                None => return,
-            }
-        }
-        match Opened::open(&settings) {
-            Ok(opened) => next = Some(opened),
-            Err(error) => log::warn!("replica: the data directory cannot be opened: {error:#}"),
-        }
-    }
-}
-
-impl<S: ReplicatedState> Command<S> {
-    /// Answers that the disk does not work.
-    fn fail(self) {
-        match self {
-            Self::Propose(_, reply) => {
-                let _ = reply.send(Err(ReplicaError::StorageFailed));
-            }
-            Self::Read(reply) => {
-                let _ = reply.send(Err(ReplicaError::StorageFailed));
-            }
-            Self::Change(_, reply) => {
-                let _ = reply.send(Err(ProposeError::NotLeader { leader: None }));
-            }
-            Self::Receive(_) | Self::Join(..) | Self::StepDown => (),
-        }
-    }
-}
-
 /// Why the task of a replica ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum End {
+pub(crate) enum End {
     HandlesDropped,
     StorageFailed,
 }
 
-struct ReplicaTask<'a, S: ReplicatedState> {
-    replica: Replica,
-    state: Arc<S>,
-    jobs: JobSender<DiskJob>,
-    after_sync: HashMap<u64, Vec<Message>>,
-    snapshot_index: u64,
-    saving_snapshot: bool,
-    proposals: BTreeMap<u64, (u64, oneshot::Sender<ProposeReply<S>>)>,
-    reads: HashMap<ReadId, oneshot::Sender<ReadReply<S>>>,
-    next_read: u64,
-    peers: HashMap<Arc<str>, PeerClient>,
-    identity: ClientIdentity,
-    own_address: Arc<str>,
-    contacts: Vec<SocketAddr>,
-    voters: VoterTarget,
-    next_join_tick: u32,
+/// One replica while its disk works.
+pub(crate) struct ReplicaTask<'a, S: ReplicatedState> {
+    pub(crate) replica: Replica,
+    pub(crate) state: Arc<S>,
+    pub(crate) jobs: JobSender<DiskJob>,
+    pub(crate) after_sync: HashMap<u64, Vec<Message>>,
+    pub(crate) snapshot_index: u64,
+    pub(crate) saving_snapshot: bool,
+    pub(crate) proposals: BTreeMap<u64, (u64, oneshot::Sender<ProposeReply<S>>)>,
+    pub(crate) reads: HashMap<ReadId, oneshot::Sender<ReadReply<S>>>,
+    pub(crate) next_read: u64,
+    pub(crate) peers: HashMap<Arc<str>, PeerClient>,
+    pub(crate) identity: ClientIdentity,
+    pub(crate) own_address: Arc<str>,
+    pub(crate) contacts: Vec<SocketAddr>,
+    pub(crate) voters: VoterTarget,
+    pub(crate) next_join_tick: u32,
     /// Whether another member told that this replica lost its vote.
-    removed: bool,
-    view: &'a watch::Sender<ReplicaView<S>>,
-    storage_works: bool,
+    pub(crate) removed: bool,
+    pub(crate) view: &'a watch::Sender<ReplicaView<S>>,
+    pub(crate) storage_works: bool,
 }
 
 impl<S: ReplicatedState> ReplicaTask<'_, S> {
-    async fn run(
+    pub(crate) async fn run(
         mut self,
         commands: &mut mpsc::Receiver<Command<S>>,
         mut finished: mpsc::UnboundedReceiver<DiskDone>,
