Deliver a server error that is there when a repeat is not run

Cause: the gateway kept the newest end of an attempt. When an idempotent request got a server error and its repeat was shed or could not be sent, the caller got 502 with an unknown outcome although an answer was there. A repeat was also taken out of the budget before a server for it was found.

Ruled out: a passed-on 503 (it would promise that the request was not run; it stays an unknown outcome).

Test: the_answer_of_a_server_outlives_a_repeat_that_was_not_run, failed three of three times before (answers 0 or 1 of 1 or 2 runs), passes three of three times after.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -108,9 +108,7 @@
         let mut arrived = false;
         let mut otherwise = Err(Refusal::NoServer);
         let answer = loop {
-            let permitted = attempts.len() < MAX_OFFERS
-                && runs < self.rule.max_attempts
-                && (!arrived || self.shared.try_repeat(&self.service));
+            let permitted = attempts.len() < MAX_OFFERS && runs < self.rule.max_attempts;
             if !permitted || self.left() < LEAST_TIME {
                 break otherwise;
             }
@@ -122,21 +120,20 @@
             let Some(chosen) = chosen else {
                 break otherwise;
             };
+            if arrived && !self.shared.try_repeat(&self.service) {
+                self.shared
+                    .finish_attempt(&chosen.id, AttemptResult::Neutral, chosen.connection);
+                break otherwise;
+            }
             excluded.push(Arc::clone(&chosen.id));
             match self.attempt(chosen, &mut attempts).await {
-                Next::End(answer) => break answer,
+                Next::End(answer) => break better(otherwise, answer),
                 Next::Another {
                     otherwise: end,
                     arrived: here,
                     may_have_run,
                 } => {
-                    // An earlier attempt of an idempotent request may have run.
-                    let ran_before = runs > 0 && matches!(end, Err(Refusal::NotRun));
-                    otherwise = if ran_before {
-                        Err(Refusal::OutcomeUnknown)
-                    } else {
-                        end
-                    };
+                    otherwise = better(otherwise, end);
                     arrived |= here;
                     runs += u32::from(may_have_run);
                 }
@@ -293,6 +290,18 @@
     }
 }
 
+/// End of a request after two attempts: an answer that is there is delivered, and after an attempt that
+/// may have run nothing may say that the request was not run.
+fn better(
+    before: Result<Answer, Refusal>,
+    newer: Result<Answer, Refusal>,
+) -> Result<Answer, Refusal> {
+    match (&before, &newer) {
+        (Ok(_) | Err(Refusal::OutcomeUnknown), Err(_)) => before,
+        _ => newer,
+    }
+}
+
 type Sending = (Next, AttemptResult, &'static str, Option<BackendConnection>);
 
 fn not_sent(name: &'static str, result: AttemptResult) -> Sending {
