Refuse requests that crash backend servers at every gateway

Cause: nothing kept a request that ends the server that runs it from reaching one server after the other, under a new id each time and at any gateway.

Change: a gateway whose connection breaks off with a request in flight looks 50 ms later whether the server accepts another one. If not, it reports a hash of the content with the life of the server. Coordinators count lives, spread the list, and gateways refuse (503) what met three of them. An answer clears a suspect. Fingerprint moves from policy to model.

Ruled out: counting lost connections alone (servers in a spell of resets break off 85 % of their requests and go on living; popular lookups would be refused); leases of a leader as in the entry proxy (a round trip a request).

--- a/crates/coordinator/src/board.rs
+++ b/crates/coordinator/src/board.rs
@@ -6,9 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use radishpaddle_model::{GatewayPresence, OrganisationDemand, ServerEvidence, ServerPresence};
+use radishpaddle_model::{
+    Fingerprint, GatewayPresence, OrganisationDemand, RequestCrash, ServerEvidence, ServerPresence,
+};
 use radishpaddle_wire::PresenceExchange;
 
+use crate::suspects::Suspects;
 use crate::table::ServerTable;
 
 /// A gateway that was not heard for this long is not named to callers. Several polls long.
@@ -50,6 +53,8 @@
 pub struct Board {
     /// Backend servers.
     pub table: ServerTable,
+    /// Requests that may crash backend servers.
+    pub suspects: Suspects,
     gateways: HashMap<Arc<str>, KnownGateway>,
     /// Requests admitted at all gateways, by organisation.
     admitted: HashMap<Arc<str>, u64>,
@@ -71,6 +76,7 @@
             zones: HashMap::new(),
             told_at: HashMap::new(),
             table: ServerTable::new(heartbeat),
+            suspects: Suspects::default(),
             gateways: HashMap::new(),
             admitted: HashMap::new(),
             evidence: VecDeque::new(),
@@ -114,6 +120,27 @@
         unsent.push((presence, 0));
     }
 
+    /// Takes what a gateway that polls here says of suspect requests. Returns whether any of it is new.
+    pub fn report_crashes(
+        &mut self,
+        crashes: &[RequestCrash],
+        answered: &[Fingerprint],
+        now: Duration,
+    ) -> bool {
+        let before = self.suspects.position();
+        for crash in crashes {
+            if self.suspects.record(*crash, now) {
+                self.unsent.crashes.push(*crash);
+            }
+        }
+        for request in answered {
+            if self.suspects.clear(request) {
+                self.unsent.answered.push(*request);
+            }
+        }
+        self.suspects.position() != before
+    }
+
     /// Takes what another coordinator heard.
     pub fn merge(&mut self, exchange: PresenceExchange, now: Duration) {
         self.zones.insert(exchange.address, exchange.zone);
@@ -128,6 +155,12 @@
         for (gateway, evidence) in exchange.evidence {
             self.add_evidence(gateway, evidence);
         }
+        for crash in exchange.crashes {
+            self.suspects.record(crash, now);
+        }
+        for request in exchange.answered {
+            self.suspects.clear(&request);
+        }
     }
 
     /// What was heard here since the last call.
@@ -157,6 +190,7 @@
             gateways: gateways
                 .map(|gateway| (gateway.presence.clone(), age(gateway.heard_at)))
                 .collect(),
+            crashes: self.suspects.crashes().collect(),
             ..self.unsent.without_content()
         }
     }
@@ -164,6 +198,7 @@
     /// Forgets what was silent for long.
     pub fn expire(&mut self, now: Duration) {
         self.table.expire(now);
+        self.suspects.expire(now);
         self.gateways
             .retain(|_, known| now.saturating_sub(known.heard_at) < GATEWAY_FORGOTTEN);
     }
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -113,6 +113,8 @@
             servers: Vec::new(),
             gateways: Vec::new(),
             evidence: Vec::new(),
+            crashes: Vec::new(),
+            answered: Vec::new(),
         };
         let shared = Shared {
             incarnation,
@@ -333,7 +335,8 @@
         let has_failures = poll.evidence.iter().any(|item| item.failed > 0);
         self.board()
             .report(poll.presence.clone(), &poll.evidence, boot_clock::now());
-        if has_failures {
+        let suspects_changed = self.report_crashes(&poll);
+        if has_failures || suspects_changed {
             self.shared.news.notify_waiters();
         }
         // An answer without a recent proof is of little use, so it waits for one.
@@ -360,6 +363,23 @@
         self.reply(&poll)
     }
 
+    fn report_crashes(&self, poll: &GatewayPoll) -> bool {
+        let now = boot_clock::now();
+        let changed = self
+            .board()
+            .report_crashes(&poll.crashes, &poll.answered, now);
+        if changed {
+            let crashes = poll.crashes.iter().map(|crash| crash.request.to_string());
+            let crashes: Vec<String> = crashes.collect();
+            let answered: Vec<String> = poll.answered.iter().map(ToString::to_string).collect();
+            self.shared.log.record("suspect_requests", Keep::Each, || {
+                json!({"gateway": poll.presence.instance, "crashes": crashes,
+                           "answered": answered})
+            });
+        }
+        changed
+    }
+
     fn has_news(&self, poll: &GatewayPoll) -> bool {
         let view = self.shared.replica.view();
         let board = self.board();
@@ -368,6 +388,7 @@
             || poll.config_version < view.state.version()
             || poll.applied_index < view.applied_index
             || poll.evidence_position < board.failure_position()
+            || poll.suspects_position != board.suspects.position()
     }
 
     fn reply(&self, poll: &GatewayPoll) -> PollReply {
@@ -410,6 +431,9 @@
             applied_index: view.applied_index,
             evidence_position: board.evidence_position(),
             evidence: board.evidence_since(evidence_position, instance),
+            suspects: (whole || poll.suspects_position != board.suspects.position())
+                .then(|| board.suspects.list()),
+            suspects_position: board.suspects.position(),
             config_version: view.state.version(),
             config: newer.map(|stored| Arc::new(stored.config.clone())),
             demand,
--- a/crates/coordinator/src/exchange.rs
+++ b/crates/coordinator/src/exchange.rs
@@ -113,6 +113,8 @@
         joined.servers.extend(part.servers);
         joined.gateways.extend(part.gateways);
         joined.evidence.extend(part.evidence);
+        joined.crashes.extend(part.crashes);
+        joined.answered.extend(part.answered);
     }
     joined
 }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod peer_handler;
 pub mod settings;
 pub mod state;
+pub mod suspects;
 pub mod table;
 
 pub use coordinator::{AnnounceError, Coordinator, ReadError, SubmitError};
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -6,13 +6,11 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use radishpaddle_model::{OrganisationId, ResultCode, ServiceDocument};
+use radishpaddle_model::{Fingerprint, OrganisationId, ResultCode, ServiceDocument};
 use radishpaddle_policy::budget::{AttemptFault, FailedAttempt};
 use radishpaddle_policy::hedge::HedgeQuery;
 use radishpaddle_policy::quarantine::Admission;
-use radishpaddle_policy::{
-    Completion, Fingerprint, RequestClass, ServerKey, TicketId, TicketOutcome,
-};
+use radishpaddle_policy::{Completion, RequestClass, ServerKey, TicketId, TicketOutcome};
 use tokio::time::Instant;
 
 use crate::answer::Answer;
--- a/crates/entry/src/leader_state.rs
+++ b/crates/entry/src/leader_state.rs
@@ -6,11 +6,10 @@
 use std::time::Duration;
 
 use radishpaddle_kernel::Journal;
-use radishpaddle_model::{FleetConfig, InstanceId, Revision};
+use radishpaddle_model::{Fingerprint, FleetConfig, InstanceId, Revision};
 use radishpaddle_policy::detector::ServerInfo;
 use radishpaddle_policy::{
-    CrashId, Decision, Fingerprint, HealthLeader, PoisonRegistry, ServerKey, ServiceKey,
-    TicketResponse,
+    CrashId, Decision, HealthLeader, PoisonRegistry, ServerKey, ServiceKey, TicketResponse,
 };
 use radishpaddle_quorum::Life;
 use radishpaddle_quorum::allocation::{
--- a/crates/entry/src/poison_task.rs
+++ b/crates/entry/src/poison_task.rs
@@ -7,11 +7,10 @@
 use std::time::Duration;
 
 use radishpaddle_kernel::Journal;
-use radishpaddle_model::Incarnation;
+use radishpaddle_model::{Fingerprint, Incarnation};
 use radishpaddle_policy::quarantine::{Admission, Crash, QuarantineEntry};
 use radishpaddle_policy::{
-    CrashId, CrashWatch, Fingerprint, QuarantineView, ServerKey, TicketId, TicketOutcome,
-    TicketResponse,
+    CrashId, CrashWatch, QuarantineView, ServerKey, TicketId, TicketOutcome, TicketResponse,
 };
 use radishpaddle_quorum::Life;
 use radishpaddle_wire::WireError;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -11,10 +11,10 @@
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use radishpaddle_model::{
-    Access, FleetConfig, OrganisationId, OrganisationKey, Outcome, ResultCode, Route,
-    ServiceDocument, ServiceId,
+    Access, Fingerprint as PoisonFingerprint, FleetConfig, OrganisationId, OrganisationKey,
+    Outcome, ResultCode, Route, ServiceDocument, ServiceId,
 };
-use radishpaddle_policy::{Fingerprint as PoisonFingerprint, RequestClass};
+use radishpaddle_policy::RequestClass;
 use radishpaddle_quorum::allocation::LimitKey;
 use radishpaddle_quorum::claim::ClaimDecision;
 use tokio::time::Instant;
@@ -214,8 +214,11 @@
         }
         let (method, path, body) = request.identity();
         let poison_fingerprint = PoisonFingerprint::of(
-            resolved.organisation.as_ref(),
-            &resolved.service,
+            resolved
+                .organisation
+                .as_ref()
+                .map_or("", OrganisationId::as_str),
+            resolved.service.as_str(),
             method,
             path,
             body,
--- a/crates/entry/src/sync_message.rs
+++ b/crates/entry/src/sync_message.rs
@@ -1,8 +1,9 @@
 //! Messages between entry instances and the witness leader.
 
+use radishpaddle_model::Fingerprint;
 use radishpaddle_policy::quarantine::QuarantineEntry;
 use radishpaddle_policy::{
-    CrashId, Fingerprint, HealthReport, HealthResponse, ServerKey, TicketId, TicketOutcome,
+    CrashId, HealthReport, HealthResponse, ServerKey, TicketId, TicketOutcome,
 };
 use radishpaddle_quorum::{Epoch, Life};
 use serde::{Deserialize, Serialize};
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -24,6 +24,8 @@
     NotFresh,
     /// No backend server of the service takes work.
     NoServer,
+    /// Backend servers ended with this request in flight, again and again.
+    CrashesServers,
     /// Every backend server that was tried refused the request, or none could be reached.
     NotRun,
     /// The time was over before a backend server got the request.
@@ -44,9 +46,11 @@
             Self::KeyUnknown => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
-            Self::NotFresh | Self::NoServer | Self::NotRun | Self::ExpiredNotRun => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotFresh
+            | Self::NoServer
+            | Self::CrashesServers
+            | Self::NotRun
+            | Self::ExpiredNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -63,6 +67,7 @@
             Self::OverQuota => "over_quota",
             Self::NotFresh => "not_fresh",
             Self::NoServer => "no_backend_server",
+            Self::CrashesServers => "crashes_backend_servers",
             Self::NotRun => "not_run",
             Self::ExpiredNotRun => "expired_not_run",
             Self::OutcomeUnknown => "outcome_unknown",
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use radishpaddle_model::RoutingRule;
+use radishpaddle_model::{Fingerprint, RequestCrash, RoutingRule};
 use serde::Serialize;
 use tokio::time::{Instant, timeout_at};
 
@@ -112,6 +112,9 @@
             if !permitted || self.left() < LEAST_TIME {
                 break otherwise;
             }
+            if self.shared.refuses(|| self.fingerprint()) {
+                break better(otherwise, Err(Refusal::CrashesServers));
+            }
             let is_last = runs + 1 >= self.rule.max_attempts;
             let idempotent = self.rule.idempotent;
             let chosen = self
@@ -146,6 +149,22 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    fn fingerprint(&self) -> Fingerprint {
+        let headers = &self.shared.headers;
+        self.request.fingerprint(&self.rule.name, headers)
+    }
+
+    /// The connection broke off with the request in flight: the server may be gone because of it.
+    fn check_crash(&self, chosen: &Chosen) {
+        let shared = Arc::clone(&self.shared);
+        let (server, address) = (Arc::clone(&chosen.id), chosen.address);
+        let crash = RequestCrash {
+            request: self.fingerprint(),
+            server: chosen.life,
+        };
+        tokio::spawn(async move { shared.check_crash(&server, address, crash).await });
+    }
+
     async fn attempt(&self, mut chosen: Chosen, attempts: &mut Vec<AttemptRecord>) -> Next {
         let started_at = Instant::now();
         let in_flight = InFlight {
@@ -163,6 +182,11 @@
             None => not_sent("not_connected", AttemptResult::NotConnected),
         };
         in_flight.finish(result, connection);
+        match name {
+            "connection_lost" => self.check_crash(&chosen),
+            "answered" => self.shared.record_answer(|| self.fingerprint()),
+            _ => (),
+        }
         self.shared.metrics.attempted(&self.service, name);
         let elapsed = started_at.elapsed();
         attempts.push(AttemptRecord {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -8,8 +8,11 @@
 use http_body_util::Full;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
+use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Uri};
 
+use radishpaddle_model::Fingerprint;
+
 use crate::settings::HeaderNames;
 
 /// Headers that belong to one connection (RFC 9110, section 7.6.1), and the key.
@@ -93,6 +96,27 @@
         Self { parts, body }
     }
 
+    /// Identity of the request by its content.
+    #[must_use]
+    pub fn fingerprint(&self, route: &str, names: &Headers) -> Fingerprint {
+        let organisation = self.parts.headers.get(&names.organisation);
+        let organisation = organisation.and_then(|value| value.to_str().ok());
+        let path = self.parts.uri.path_and_query();
+        Fingerprint::of(
+            organisation.unwrap_or_default(),
+            route,
+            self.parts.method.as_str(),
+            path.map_or("", PathAndQuery::as_str),
+            &self.body,
+        )
+    }
+
+    /// Id of the request, for logs.
+    #[must_use]
+    pub fn id(&self, names: &Headers) -> Option<&str> {
+        self.parts.headers.get(&names.request_id)?.to_str().ok()
+    }
+
     /// The request for one attempt at a backend server with the time that is left for it.
     #[must_use]
     pub fn attempt(&self, server: &str, left: Duration, names: &Headers) -> Request<Full<Bytes>> {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,15 +7,18 @@
 
 use anyhow::Result;
 use radishpaddle_kernel::{DecisionLog, Keep, boot_clock};
-use radishpaddle_model::{OrganisationDemand, RoutingConfig, RoutingTable};
+use radishpaddle_model::{
+    Fingerprint, OrganisationDemand, RequestCrash, RoutingConfig, RoutingTable, SuspectRequest,
+};
 use radishpaddle_wire::PollReply;
 use serde_json::json;
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, timeout_at};
 use tokio_util::sync::CancellationToken;
 
-use crate::backend_connection::BackendConnection;
+use crate::backend_connection::{BackendConnection, CONNECT_TIMEOUT};
 use crate::callers::CallerListener;
+use crate::crash_watch::{CRASH_CHECK_PAUSE, CrashWatch};
 use crate::forward::Headers;
 use crate::metrics::GatewayMetrics;
 use crate::poll_task;
@@ -45,6 +48,7 @@
     table: Mutex<Arc<RoutingTable>>,
     pools: Mutex<Pools>,
     quota: Mutex<Quota>,
+    crash_watch: Mutex<CrashWatch>,
     service_times: Mutex<HashMap<Arc<str>, ServiceTime>>,
     /// Local time at which the newest proof of the coordinators began.
     proved_at: Mutex<Option<Duration>>,
@@ -76,6 +80,7 @@
             table: Mutex::default(),
             pools: Mutex::new(Pools::new(Arc::clone(&settings.zone), budget)),
             quota: Mutex::new(Quota::new(settings.quota.clone())),
+            crash_watch: Mutex::default(),
             service_times: Mutex::default(),
             proved_at: Mutex::default(),
             started: watch::Sender::new(false),
@@ -280,6 +285,55 @@
         lock(&self.pools).take_evidence()
     }
 
+    /// Whether a request crashes backend servers, as far as known. The fingerprint is made only when there are suspects.
+    pub(crate) fn refuses(&self, fingerprint: impl FnOnce() -> Fingerprint) -> bool {
+        let watch = lock(&self.crash_watch);
+        !watch.is_empty() && watch.is_refused(&fingerprint())
+    }
+
+    pub(crate) fn record_answer(&self, fingerprint: impl FnOnce() -> Fingerprint) {
+        let mut watch = lock(&self.crash_watch);
+        if !watch.is_empty() {
+            watch.record_answer(fingerprint());
+        }
+    }
+
+    /// Looks whether a server that broke off a request still accepts connections; if not, the request counts as in
+    /// flight at a crash. A server in a spell of resets accepts connections.
+    pub(crate) async fn check_crash(&self, server: &str, address: SocketAddr, crash: RequestCrash) {
+        tokio::time::sleep(CRASH_CHECK_PAUSE).await;
+        if let Some(connection) = BackendConnection::open(address, CONNECT_TIMEOUT).await {
+            lock(&self.pools).keep(server, connection);
+            return;
+        }
+        self.log.record(
+            "request_crash",
+            Keep::Each,
+            || json!({"server": server, "fingerprint": crash.request.to_string()}),
+        );
+        lock(&self.crash_watch).record_crash(crash);
+        self.urgent.notify_one();
+    }
+
+    pub(crate) fn report_crashes(&self, everything: bool) -> (Vec<RequestCrash>, Vec<Fingerprint>) {
+        lock(&self.crash_watch).report(everything)
+    }
+
+    /// Takes the list of suspects of a coordinator that has taken a report.
+    pub(crate) fn set_suspects(&self, list: Vec<SuspectRequest>, continued: bool) {
+        for refused in lock(&self.crash_watch).set_suspects(list, continued) {
+            self.log.record(
+                "request_quarantined",
+                Keep::Each,
+                || json!({"fingerprint": refused.request.to_string(), "crashes": refused.crashes}),
+            );
+        }
+    }
+
+    pub(crate) fn acknowledge_crashes(&self, crashes: &[RequestCrash], answered: &[Fingerprint]) {
+        lock(&self.crash_watch).acknowledge(crashes, answered);
+    }
+
     pub(crate) fn slow_after(&self, route: &str) -> Duration {
         let times = lock(&self.service_times);
         times.get(route).copied().unwrap_or_default().slow_after()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod attempt;
 pub mod backend_connection;
 pub mod callers;
+pub mod crash_watch;
 pub mod forward;
 pub mod gateway;
 pub mod health;
--- a/crates/gateway/src/poll_task.rs
+++ b/crates/gateway/src/poll_task.rs
@@ -70,6 +70,7 @@
     table_position: u64,
     evidence_position: u64,
     applied_index: u64,
+    suspects_position: u64,
 }
 
 struct PollTask {
@@ -106,7 +107,7 @@
                 () = urgent => continue,
             };
             match result {
-                Ok(reply) => self.take(reply, sent_at, address),
+                Ok(reply) => self.take(&poll, reply, sent_at, address),
                 Err(error) => {
                     self.lost(address, &error.to_string());
                     sleep(FAILED_PAUSE).await;
@@ -160,7 +161,11 @@
     fn poll(&mut self) -> GatewayPoll {
         let settings = &self.shared.settings;
         self.sequence += 1;
+        let (crashes, answered) = self.shared.report_crashes(self.known.coordinator == 0);
         GatewayPoll {
+            crashes,
+            answered,
+            suspects_position: self.known.suspects_position,
             presence: GatewayPresence {
                 instance: Arc::clone(&settings.instance),
                 incarnation: self.incarnation,
@@ -179,12 +184,25 @@
         }
     }
 
-    fn take(&mut self, reply: PollReply, sent_at: Duration, address: SocketAddr) {
+    fn take(
+        &mut self,
+        poll: &GatewayPoll,
+        mut reply: PollReply,
+        sent_at: Duration,
+        address: SocketAddr,
+    ) {
+        self.shared
+            .acknowledge_crashes(&poll.crashes, &poll.answered);
+        if let Some(list) = reply.suspects.take() {
+            let continued = poll.coordinator == reply.coordinator;
+            self.shared.set_suspects(list, continued);
+        }
         self.known = Known {
             coordinator: reply.coordinator,
             table_position: reply.table_position,
             evidence_position: reply.evidence_position,
             applied_index: reply.applied_index,
+            suspects_position: reply.suspects_position,
         };
         if !reply.coordinators.is_empty() {
             self.coordinators.clone_from(&reply.coordinators);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -67,6 +67,8 @@
     pub id: Arc<str>,
     /// Where it is.
     pub address: SocketAddr,
+    /// Life of the backend server.
+    pub life: u64,
     /// A connection that was used before.
     pub connection: Option<BackendConnection>,
     /// Probability that the request fails, as estimated.
@@ -305,6 +307,7 @@
         Some(Chosen {
             id: Arc::clone(&names[index]),
             address: server.presence.address,
+            life: server.presence.life(),
             connection: server.idle_connection(idempotent),
             failure_probability: candidate.failure_probability,
             in_flight: candidate.in_flight,
@@ -357,10 +360,8 @@
         server.in_flight = server.in_flight.saturating_sub(1);
         server.count(result, now);
         let service = Arc::clone(&server.presence.service);
-        if let Some(connection) = connection
-            && server.idle.len() < MAX_IDLE
-        {
-            server.idle.push(connection);
+        if let Some(connection) = connection {
+            server.keep(connection);
         }
         match result {
             AttemptResult::Succeeded => self.count_outcomes(&service, 1.0, 0.0, now),
@@ -379,6 +380,13 @@
         }
     }
 
+    /// Keeps a connection that was opened without a request.
+    pub fn keep(&mut self, id: &str, connection: BackendConnection) {
+        if let Some(server) = self.server_mut(id) {
+            server.keep(connection);
+        }
+    }
+
     /// Random number from 0 to 1, for weighted choices.
     pub fn random(&mut self) -> f64 {
         self.rng.random_range(0.0..1.0)
@@ -422,6 +430,12 @@
         }
     }
 
+    fn keep(&mut self, connection: BackendConnection) {
+        if self.idle.len() < MAX_IDLE {
+            self.idle.push(connection);
+        }
+    }
+
     fn takes_work(&self, retired: Option<&Retirement>) -> bool {
         let is_retired =
             retired.is_some_and(|retired| retired.started_at_ms >= self.presence.started_at_ms);
--- /dev/null
+++ b/crates/gateway/tests/crash_watch.rs
@@ -0,0 +1,71 @@
+//! Requests that crash backend servers, as one gateway knows them.
+
+use radishpaddle_gateway::crash_watch::CrashWatch;
+use radishpaddle_model::{Fingerprint, RequestCrash, SuspectRequest};
+
+const REQUEST: Fingerprint = Fingerprint([7; 16]);
+const CRASH: RequestCrash = RequestCrash {
+    request: REQUEST,
+    server: 5,
+};
+
+fn suspect(crashes: u32) -> Vec<SuspectRequest> {
+    vec![SuspectRequest {
+        request: REQUEST,
+        crashes,
+    }]
+}
+
+/// Guards against a refusal after crashes that may have another cause, and against none after more of them.
+#[test]
+fn a_request_is_refused_after_three_crashes() {
+    let mut watch = CrashWatch::default();
+
+    let mut refused = Vec::new();
+    for crashes in 0..5 {
+        let newly = watch.set_suspects(suspect(crashes), true).len();
+        refused.push((watch.is_refused(&REQUEST), newly));
+    }
+
+    let expected = [(false, 0), (false, 0), (false, 0), (true, 1), (true, 0)];
+    assert_eq!(refused, expected);
+    assert!(!watch.is_refused(&Fingerprint([8; 16])));
+}
+
+/// Guards against a crash that no coordinator learns of because the poll that named it was lost, and against a
+/// quarantine that ends when all coordinators start anew.
+#[test]
+fn a_crash_is_reported_until_it_is_taken_and_again_to_a_new_coordinator() {
+    let mut watch = CrashWatch::default();
+    watch.record_crash(CRASH);
+    watch.record_crash(CRASH);
+
+    let first = watch.report(false);
+    let again = watch.report(false);
+    watch.acknowledge(&again.0, &again.1);
+    watch.set_suspects(suspect(1), true);
+    let after = watch.report(false);
+    watch.set_suspects(Vec::new(), false);
+    let to_another = watch.report(true);
+
+    assert_eq!(first.0, [CRASH]);
+    assert_eq!(again.0, [CRASH]);
+    assert_eq!(after.0, []);
+    assert_eq!(to_another.0, [CRASH]);
+}
+
+/// Guards against an own crash that makes a request suspect again after it was answered elsewhere.
+#[test]
+fn a_crash_is_forgotten_when_the_request_was_answered() {
+    let mut watch = CrashWatch::default();
+    watch.record_crash(CRASH);
+    watch.acknowledge(&[CRASH], &[]);
+    watch.set_suspects(suspect(1), true);
+
+    watch.record_answer(REQUEST);
+    let answered = watch.report(false).1;
+    watch.set_suspects(Vec::new(), true);
+
+    assert_eq!(answered, [REQUEST]);
+    assert_eq!(watch.report(true).0, []);
+}
--- /dev/null
+++ b/crates/model/src/fingerprint.rs
@@ -0,0 +1,42 @@
+//! Identity of a request by its content, for requests that come again under another id.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// Hash of organisation, scope, method, path with query, and body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint(pub [u8; 16]);
+
+impl Fingerprint {
+    /// Fingerprint of a request; `scope` is the service or route within which the path is meant. The first 16 bytes
+    /// of SHA-256, so that a caller cannot construct two requests with one fingerprint.
+    #[must_use]
+    pub fn of(
+        organisation: &str,
+        scope: &str,
+        method: &str,
+        path_and_query: &str,
+        body: &[u8],
+    ) -> Self {
+        let mut hasher = Sha256::new();
+        for part in [organisation, scope, method, path_and_query] {
+            hasher.update(u64::try_from(part.len()).unwrap_or(u64::MAX).to_le_bytes());
+            hasher.update(part.as_bytes());
+        }
+        hasher.update(body);
+        let digest = hasher.finalize();
+        let mut bytes = [0; 16];
+        bytes.copy_from_slice(&digest[..16]);
+        Self(bytes)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod announcement;
 pub mod config;
 pub mod document;
+pub mod fingerprint;
 pub mod id;
 pub mod key;
 pub mod presence;
@@ -15,14 +16,15 @@
 pub use announcement::{Announcement, BackendState};
 pub use config::{Change, ChangeRecord, FleetConfig, KeyRecord, ServiceEntry};
 pub use document::{Access, OrganisationLimit, Route, ServiceDocument};
+pub use fingerprint::Fingerprint;
 pub use id::{
     AvailabilityZone, BackendServerId, Incarnation, InstanceId, KeyId, OrganisationId, Revision,
     ServiceId, SubmissionId,
 };
 pub use key::{KeyHash, OrganisationKey};
 pub use presence::{
-    GatewayPresence, OrganisationDemand, Retirement, ServerEvidence, ServerPresence, name_hash,
-    short_key,
+    GatewayPresence, OrganisationDemand, RequestCrash, Retirement, ServerEvidence, ServerPresence,
+    SuspectRequest, name_hash, short_key,
 };
 pub use result_code::{Outcome, Refusal, ResultCode};
 pub use routing::{
--- a/crates/model/src/presence.rs
+++ b/crates/model/src/presence.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::announcement::BackendState;
+use crate::fingerprint::Fingerprint;
 
 /// One announcement of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -38,6 +39,12 @@
     pub fn rank(&self) -> (u64, BackendState, u64) {
         (self.started_at_ms, self.state, self.sequence)
     }
+
+    /// Key of this life of the backend server.
+    #[must_use]
+    pub fn life(&self) -> u64 {
+        name_hash(&self.id) ^ self.started_at_ms
+    }
 }
 
 /// A backend server that was acknowledged as draining or gone.
@@ -66,6 +73,26 @@
     pub in_flight: u16,
 }
 
+/// A backend server that ended with a request in flight.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct RequestCrash {
+    /// The request.
+    pub request: Fingerprint,
+    /// Life of the backend server, see [`ServerPresence::life`].
+    pub server: u64,
+}
+
+/// A request that was in flight when backend servers ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct SuspectRequest {
+    /// The request.
+    pub request: Fingerprint,
+    /// Lives of backend servers that ended with it in flight, without an answer to it since the first one.
+    pub crashes: u32,
+}
+
 /// What a gateway says about itself with each poll.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -38,6 +38,6 @@
 pub use leader::{HealthLeader, HealthReport, HealthResponse, PathFault};
 pub use path::PathAvoidance;
 pub use poison::{PoisonRegistry, TicketId, TicketOutcome, TicketResponse};
-pub use quarantine::{CrashId, CrashWatch, Fingerprint, QuarantineView};
+pub use quarantine::{CrashId, CrashWatch, QuarantineView};
 pub use router::{Router, Strategy};
 pub use verdict::{LocalStanding, Standing, Verdict, VerdictUpdate, VerdictVersion, VerdictView};
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -9,10 +9,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use radishpaddle_model::InstanceId;
+use radishpaddle_model::{Fingerprint, InstanceId};
 use serde::{Deserialize, Serialize};
 
-use crate::quarantine::{CrashId, Fingerprint, PoisonState, QuarantineEntry, whole_ms};
+use crate::quarantine::{CrashId, PoisonState, QuarantineEntry, whole_ms};
 
 /// Time for which a suspect is remembered after its last crash.
 pub const SUSPECT_LIFE: Duration = Duration::from_mins(10);
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -2,12 +2,10 @@
 //! leader.
 
 use std::collections::{HashMap, VecDeque};
-use std::fmt;
 use std::time::Duration;
 
-use radishpaddle_model::{Incarnation, OrganisationId, ServiceId};
+use radishpaddle_model::{Fingerprint, Incarnation};
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
 
 use crate::key::ServerKey;
 use crate::poison::{MAX_ENTRIES, SUSPECT_LIFE, TicketId};
@@ -21,43 +19,6 @@
 /// Lost requests that are remembered while it is open whether the server crashed.
 pub const MAX_LOST: usize = 1024;
 
-/// Hash of organisation, service, method, path with query, and body.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-#[derive(Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct Fingerprint(pub [u8; 16]);
-
-impl Fingerprint {
-    /// Fingerprint of a request. The first 16 bytes of SHA-256, so that a caller cannot construct
-    /// two requests with one fingerprint.
-    #[must_use]
-    pub fn of(
-        organisation: Option<&OrganisationId>,
-        service: &ServiceId,
-        method: &str,
-        path_and_query: &str,
-        body: &[u8],
-    ) -> Self {
-        let mut hasher = Sha256::new();
-        let organisation = organisation.map_or("", OrganisationId::as_str);
-        for part in [organisation, service.as_str(), method, path_and_query] {
-            hasher.update(u64::try_from(part.len()).unwrap_or(u64::MAX).to_le_bytes());
-            hasher.update(part.as_bytes());
-        }
-        hasher.update(body);
-        let digest = hasher.finalize();
-        let mut bytes = [0; 16];
-        bytes.copy_from_slice(&digest[..16]);
-        Self(bytes)
-    }
-}
-
-impl fmt::Display for Fingerprint {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
-    }
-}
-
 /// One crash of a backend server. Several requests in flight and several instances report the same
 /// one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/policy/tests/poison.rs
+++ b/crates/policy/tests/poison.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use radishpaddle_model::{Incarnation, InstanceId};
+use radishpaddle_model::{Fingerprint, Incarnation, InstanceId};
 use radishpaddle_policy::poison::{MAX_ENTRIES, QUARANTINE_LIFE, TICKET_LIFE};
 use radishpaddle_policy::quarantine::{Admission, PoisonState};
 use radishpaddle_policy::{
-    CrashId, CrashWatch, Fingerprint, PoisonRegistry, QuarantineView, ServerKey, TicketId,
-    TicketOutcome, TicketResponse,
+    CrashId, CrashWatch, PoisonRegistry, QuarantineView, ServerKey, TicketId, TicketOutcome,
+    TicketResponse,
 };
 
 const INSTANCES: usize = 4;
--- a/crates/testkit/tests/fleet.rs
+++ b/crates/testkit/tests/fleet.rs
@@ -25,6 +25,10 @@
 const SOUTH_RATE: f64 = 20.0;
 const BURST: u32 = 40;
 
+/// Callers that exceed the rate of "south" in any case: 20 requests may wait for tokens without a refusal, one
+/// second of the rate, however they spread over the instances.
+const CROWD: usize = 40;
+
 /// Fleets run one after the other, since their timing suffers when they share the machine.
 static ONE_FLEET: Mutex<()> = Mutex::const_new(());
 
@@ -234,7 +238,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn rate_holds_over_all_instances() {
     let setup = start().await;
-    setup.start_callers("south", 8, 0);
+    setup.start_callers("south", CROWD, 0);
     setup.start_callers("north", 1, 0);
 
     sleep(Duration::from_secs(8)).await;
--- a/crates/wire/src/poll.rs
+++ b/crates/wire/src/poll.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 
 use radishpaddle_model::{
-    GatewayPresence, OrganisationDemand, Retirement, RoutingConfig, ServerEvidence, ServerPresence,
+    Fingerprint, GatewayPresence, OrganisationDemand, RequestCrash, Retirement, RoutingConfig,
+    ServerEvidence, ServerPresence, SuspectRequest,
 };
 use serde::{Deserialize, Serialize};
 
@@ -16,6 +17,12 @@
     pub presence: GatewayPresence,
     /// Results of its requests since the last poll that was answered.
     pub evidence: Vec<ServerEvidence>,
+    /// Crashes that this gateway saw and no coordinator is known to have, or all of them when the coordinator is new.
+    pub crashes: Vec<RequestCrash>,
+    /// Suspect requests that a backend server answered since.
+    pub answered: Vec<Fingerprint>,
+    /// Position in the list of suspect requests.
+    pub suspects_position: u64,
     /// Life of the coordinator that the positions belong to.
     pub coordinator: u64,
     /// Position in the table of backend servers; 0 asks for the whole table.
@@ -55,6 +62,10 @@
     pub evidence_position: u64,
     /// Results at other gateways, with a key of the gateway that saw them.
     pub evidence: Vec<(u32, ServerEvidence)>,
+    /// Suspect requests, when the list changed since the position of the poll.
+    pub suspects: Option<Vec<SuspectRequest>>,
+    /// Position of this answer in the list of suspect requests.
+    pub suspects_position: u64,
     /// Version in force.
     pub config_version: u64,
     /// The configuration, when the gateway has an older one.
@@ -95,6 +106,10 @@
     pub gateways: Vec<(GatewayPresence, u32)>,
     /// Results of requests, with a key of the gateway that saw them.
     pub evidence: Vec<(u32, ServerEvidence)>,
+    /// Crashes with their requests.
+    pub crashes: Vec<RequestCrash>,
+    /// Suspect requests that a backend server answered.
+    pub answered: Vec<Fingerprint>,
 }
 
 impl PresenceExchange {
@@ -108,12 +123,18 @@
             servers: Vec::new(),
             gateways: Vec::new(),
             evidence: Vec::new(),
+            crashes: Vec::new(),
+            answered: Vec::new(),
         }
     }
 
     /// Whether there is nothing to tell.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.servers.is_empty() && self.gateways.is_empty() && self.evidence.is_empty()
+        self.servers.is_empty()
+            && self.gateways.is_empty()
+            && self.evidence.is_empty()
+            && self.crashes.is_empty()
+            && self.answered.is_empty()
     }
 }
