Compare a sample of the backend servers for each attempt

Cause: with 47 gateways and 311 servers a quarter to a third of the arrivals was shed while others were idle. Gateways learn of each other's requests 100 to 150 ms late, and all of them chose the same few servers that had looked idle then.

Ruled out: too few slots (the same traffic is served better with the same servers).

Change: an attempt compares 12 servers drawn by lot from those that fit. Sites with 12 servers or fewer a service are as before.

--- a/crates/gateway/src/poll_task.rs
+++ b/crates/gateway/src/poll_task.rs
@@ -94,31 +94,9 @@
             let started_at = Instant::now();
             let sent_at = boot_clock::now();
             let client = self.client();
-            let poll = self.poll(false);
             let address = client.address();
-            // A new coordinator answers with its whole table.
-            let limit = if poll.coordinator == 0 {
-                WHOLE_TABLE_LIMIT
-            } else {
-                LOST_AFTER
-            };
-            let exchange = client.exchange(request::Kind::GatewayPoll, &poll, limit);
-            tokio::pin!(exchange);
-            let mut reported_at = started_at;
-            let result: Result<Option<PollReply>, WireError> = loop {
-                let urgent = async {
-                    self.shared.urgent.notified().await;
-                    // Failures come in groups, and each report costs both sides.
-                    sleep_until(reported_at + POLL_PAUSE).await;
-                };
-                tokio::select! {
-                    result = &mut exchange => break result,
-                    () = urgent => (),
-                }
-                reported_at = Instant::now();
-                self.report(client.clone());
-            };
-            match result {
+            let poll = self.poll(false);
+            match self.exchange(client, &poll).await {
                 Ok(Some(reply)) => self.take(&poll, reply, sent_at, address),
                 Ok(None) => self.lost(address, "no content in the answer"),
                 Err(error) => {
@@ -131,6 +109,35 @@
         }
     }
 
+    /// Waits for the answer to a poll, and reports failures meanwhile.
+    async fn exchange(
+        &mut self,
+        client: PeerClient,
+        poll: &GatewayPoll,
+    ) -> Result<Option<PollReply>, WireError> {
+        let limit = if poll.coordinator == 0 {
+            WHOLE_TABLE_LIMIT
+        } else {
+            LOST_AFTER
+        };
+        let answer = client.exchange(request::Kind::GatewayPoll, poll, limit);
+        tokio::pin!(answer);
+        let mut reported_at = Instant::now();
+        loop {
+            let urgent = async {
+                self.shared.urgent.notified().await;
+                // Failures come in groups, and each report costs both sides.
+                sleep_until(reported_at + POLL_PAUSE).await;
+            };
+            tokio::select! {
+                result = &mut answer => return result,
+                () = urgent => (),
+            }
+            reported_at = Instant::now();
+            self.report(client.clone());
+        }
+    }
+
     /// Reports failures beside the poll that waits. Replacing the poll would have its answer sent twice, and a large
     /// configuration would fill a slow link with copies.
     fn report(&mut self, client: PeerClient) {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -8,6 +8,7 @@
 use radishpaddle_model::{BackendState, Retirement, ServerEvidence, ServerPresence, short_key};
 use radishpaddle_wire::ServerNews;
 use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom as _;
 use rand::{Rng as _, SeedableRng as _};
 
 use crate::backend_connection::BackendConnection;
@@ -29,6 +30,10 @@
 /// Longest such time.
 const MAX_CONNECT_PAUSE: Duration = Duration::from_secs(6);
 
+/// Backend servers that are compared for one attempt, drawn by lot when there are more. Gateways learn of each other's
+/// requests a fraction of a second late, and would all choose the few servers that looked best then.
+const SAMPLE: usize = 12;
+
 /// Share of unserved requests above which a service serves badly.
 const DEGRADED: f64 = 0.05;
 
@@ -287,16 +292,17 @@
     ) -> Option<Chosen> {
         let stake = self.stake(service, idempotent, is_last, now);
         let servers = self.services.get_mut(service)?;
-        let names: Vec<Arc<str>> = servers.keys().cloned().collect();
-        let mut candidates = Vec::with_capacity(names.len());
-        for (index, name) in names.iter().enumerate() {
-            let server = &servers[name];
-            let retired = self.retired.get(name);
-            if !server.takes_work(retired) || exclude.contains(name) {
-                continue;
-            }
-            candidates.push(server.candidate(index, &self.zone, now));
-        }
+        let fitting = servers.iter().filter(|(name, server)| {
+            server.takes_work(self.retired.get(*name)) && !exclude.contains(name)
+        });
+        let names: Vec<Arc<str>> = fitting
+            .map(|(name, _)| Arc::clone(name))
+            .choose_multiple(&mut self.rng, SAMPLE);
+        let candidates: Vec<Candidate> = names
+            .iter()
+            .enumerate()
+            .map(|(index, name)| servers[name].candidate(index, &self.zone, now))
+            .collect();
         let index = selection::choose(&candidates, stake, &mut self.rng)?;
         let candidate = candidates
             .iter()
--- /dev/null
+++ b/crates/gateway/tests/pool.rs
@@ -0,0 +1,81 @@
+//! Choice among many backend servers by many gateways.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use radishpaddle_gateway::pool::Pools;
+use radishpaddle_gateway::settings::RetryBudgetSettings;
+use radishpaddle_model::{BackendState, ServerEvidence, ServerPresence, short_key};
+use radishpaddle_wire::ServerNews;
+
+const SERVERS: usize = 300;
+const GATEWAYS: u32 = 47;
+const NOW: Duration = Duration::from_secs(100);
+
+fn server_name(number: usize) -> Arc<str> {
+    format!("server-{number}").into()
+}
+
+fn news(number: usize) -> ServerNews {
+    ServerNews {
+        presence: ServerPresence {
+            id: server_name(number),
+            service: "lookups".into(),
+            address: "127.0.0.1:9".parse().unwrap(),
+            zone: "yard".into(),
+            slots: 3,
+            state: BackendState::Serving,
+            started_at_ms: 1,
+            sequence: 1,
+            warmup_left_ms: 0,
+        },
+        silent: false,
+    }
+}
+
+/// Pools in which all servers but the first one have requests in flight.
+fn pools() -> Pools {
+    let budget = RetryBudgetSettings {
+        ratio: 0.2,
+        slack: 10.0,
+        window_ms: 10_000,
+    };
+    let mut pools = Pools::new("yard".into(), budget);
+    for number in 0..SERVERS {
+        pools.update(news(number), NOW);
+        let evidence = ServerEvidence {
+            server: short_key(&server_name(number)),
+            succeeded: 1,
+            failed: 0,
+            in_flight: if number == 0 { 0 } else { 2 },
+        };
+        pools.observe(1, evidence, NOW);
+    }
+    pools
+}
+
+/// Guards against gateways that send all their requests of a moment to the one server that looked idle last, which then
+/// refuses them.
+#[test]
+fn gateways_with_the_same_view_spread_their_requests() {
+    let mut chosen: HashMap<Arc<str>, u32> = HashMap::new();
+    for _ in 0..GATEWAYS {
+        let choice = pools().choose("lookups", false, true, &[], NOW).unwrap();
+        *chosen.entry(choice.id).or_default() += 1;
+    }
+
+    let most = chosen.values().max().unwrap();
+    assert!(*most <= 10, "{most} of {GATEWAYS} requests at one server");
+}
+
+/// Guards against a request that is refused although a server is left: the sample is drawn from those that fit.
+#[test]
+fn the_last_server_that_fits_is_found() {
+    let mut pools = pools();
+    let excluded: Vec<_> = (1..SERVERS).map(server_name).collect();
+
+    let choice = pools.choose("lookups", false, true, &excluded, NOW);
+
+    assert_eq!(choice.unwrap().id, server_name(0));
+}
