Draw a sample of the backend servers only while their service is busy

Cause: fewer than a quarter of a request in flight for each server needs no spread, and a sample of servers of unknown health is worse than the best of all there.

Test: an_idle_service_uses_the_best_of_all_servers.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -30,10 +30,14 @@
 /// Longest such time.
 const MAX_CONNECT_PAUSE: Duration = Duration::from_secs(6);
 
-/// Backend servers that are compared for one attempt, drawn by lot when there are more. Gateways learn of each other's
-/// requests a fraction of a second late, and would all choose the few servers that looked best then.
+/// Backend servers that are compared for one attempt of a busy service, drawn by lot when there are more. Gateways learn of
+/// each other's requests a fraction of a second late, and would all choose the few servers that looked best then.
 const SAMPLE: usize = 12;
 
+/// Requests in flight for each backend server above which a service is busy. Below it the servers that answered lately
+/// are few and worth finding, and they have room for all.
+const BUSY: f64 = 0.25;
+
 /// Share of unserved requests above which a service serves badly.
 const DEGRADED: f64 = 0.05;
 
@@ -295,9 +299,12 @@
         let fitting = servers.iter().filter(|(name, server)| {
             server.takes_work(self.retired.get(*name)) && !exclude.contains(name)
         });
-        let names: Vec<Arc<str>> = fitting
-            .map(|(name, _)| Arc::clone(name))
-            .choose_multiple(&mut self.rng, SAMPLE);
+        let fitting = fitting.map(|(name, _)| Arc::clone(name));
+        let names: Vec<Arc<str>> = if is_busy(servers, self.gateways) {
+            fitting.choose_multiple(&mut self.rng, SAMPLE)
+        } else {
+            fitting.collect()
+        };
         let candidates: Vec<Candidate> = names
             .iter()
             .enumerate()
@@ -408,6 +415,13 @@
     }
 }
 
+/// Whether a service is busy, judged by the requests of this gateway: the others are taken to have as many.
+fn is_busy(servers: &HashMap<Arc<str>, Server>, gateways: u32) -> bool {
+    let own: u32 = servers.values().map(|server| server.in_flight).sum();
+    let servers = u32::try_from(servers.len()).unwrap_or(u32::MAX);
+    f64::from(own) * f64::from(gateways) >= f64::from(servers) * BUSY
+}
+
 impl Server {
     fn new(presence: ServerPresence, key: u32, warm_at: Duration, silent: bool) -> Self {
         Self {
