Revert: send actions to sound servers that wait while a service serves badly

Cause: with 300 or 1,000 servers at a low rate nearly every server has had nothing for 1.5 s. Once a twentieth of the requests was unserved, every action became the trial of a server of unknown health, which kept the service bad.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -330,17 +330,20 @@
     fn stake(&mut self, service: &str, idempotent: bool, is_last: bool, now: Duration) -> Stake {
         if idempotent {
             self.idempotent_at.insert(service.into(), now);
-            if !is_last {
-                return Stake::Repeatable;
-            }
+            return if is_last {
+                Stake::Final
+            } else {
+                Stake::Repeatable
+            };
         }
-        let outcomes = self.outcomes.get(service);
-        let degraded = outcomes.is_some_and(|outcomes| outcomes.unserved_share(now) > DEGRADED);
         let seen = self.idempotent_at.get(service);
         if seen.is_some_and(|at| now.saturating_sub(*at) < IDEMPOTENT_SEEN) {
-            Stake::Final { degraded }
+            Stake::Final
         } else {
-            Stake::FinalWithoutTrials { degraded }
+            let outcomes = self.outcomes.get(service);
+            Stake::FinalWithoutTrials {
+                degraded: outcomes.is_some_and(|outcomes| outcomes.unserved_share(now) > DEGRADED),
+            }
         }
     }
 
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -71,10 +71,6 @@
 /// The same while the service serves badly: servers that recovered are then needed.
 const NEEDED_TRIAL_DUE: Duration = Duration::from_millis(1_100);
 
-/// Time after which a sound server gets an action while the service serves badly, although trials are left to requests
-/// that can be repeated. Nobody should find sound servers unused for two seconds then.
-const SPARED_DUE: Duration = Duration::from_millis(1_500);
-
 /// Probability that a fitting request is the trial of a server that is due. Other gateways learn of a
 /// trial a fraction of a second later, and all of them would make it.
 const TRIAL_PROBABILITY: f64 = 0.4;
@@ -88,10 +84,7 @@
     /// Another attempt follows, so the server may be a trial.
     Repeatable,
     /// The request is lost.
-    Final {
-        /// Whether the service serves badly now.
-        degraded: bool,
-    },
+    Final,
     /// The request is lost, and there are no other requests for trials at this service.
     FinalWithoutTrials {
         /// Whether the service serves badly now.
@@ -105,15 +98,16 @@
 /// can be repeated are the trials of suspects, so that requests that cannot be repeated go where the
 /// evidence is best.
 pub fn choose(candidates: &[Candidate], stake: Stake, rng: &mut impl Rng) -> Option<usize> {
-    let (due, suspects) = match stake {
-        Stake::Repeatable => (TRIAL_DUE, true),
-        Stake::Final { degraded: true } => (SPARED_DUE, false),
-        Stake::Final { degraded: false } => (Duration::MAX, false),
-        Stake::FinalWithoutTrials { degraded: true } => (NEEDED_TRIAL_DUE, true),
-        Stake::FinalWithoutTrials { degraded: false } => (COSTLY_TRIAL_DUE, true),
+    let due = match stake {
+        Stake::Repeatable => Some(TRIAL_DUE),
+        Stake::Final => None,
+        Stake::FinalWithoutTrials { degraded: true } => Some(NEEDED_TRIAL_DUE),
+        Stake::FinalWithoutTrials { degraded: false } => Some(COSTLY_TRIAL_DUE),
     };
-    if let Some(trial) = longest_unused(candidates, due, suspects) {
-        let overdue = trial.unused_for >= due.saturating_mul(2);
+    if let Some(due) = due
+        && let Some(trial) = longest_unused(candidates, due)
+    {
+        let overdue = trial.unused_for >= due * 2;
         let probability = if overdue {
             OVERDUE_TRIAL_PROBABILITY
         } else {
@@ -140,22 +134,17 @@
 
 /// The server that has waited longest for a request, so that every one of them gets its turn. It need not
 /// be a suspect: one that is believed in half costs more than the others and would get nothing either.
-fn longest_unused(candidates: &[Candidate], due: Duration, suspects: bool) -> Option<&Candidate> {
-    let fits = |standing| match standing {
-        Standing::Good => true,
-        Standing::Suspect => suspects,
-        Standing::Avoided => false,
-    };
+fn longest_unused(candidates: &[Candidate], due: Duration) -> Option<&Candidate> {
     candidates
         .iter()
-        .filter(|candidate| fits(candidate.standing) && candidate.unused_for >= due)
+        .filter(|candidate| candidate.standing != Standing::Avoided && candidate.unused_for >= due)
         .max_by_key(|candidate| candidate.unused_for)
 }
 
 fn cost(candidate: &Candidate, stake: Stake) -> f64 {
     let failure_cost = match stake {
         Stake::Repeatable => FAILURE_COST_REPEATABLE,
-        Stake::Final { .. } | Stake::FinalWithoutTrials { .. } => FAILURE_COST_FINAL,
+        Stake::Final | Stake::FinalWithoutTrials { .. } => FAILURE_COST_FINAL,
     };
     let slots = f64::from(candidate.slots.max(1));
     let used = f64::from(candidate.in_flight) / slots;
