Count only crashes that follow one another, and only refused connections

Servers that end at one moment with copies of a popular request in flight counted as several crashes, and so did servers behind a path that was cut at the gateway, since a connection without an answer was taken for a crashed server.

Change: reports carry the ages of the send and of the end, and a coordinator counts crashes of which each was sent after the one before had ended, in any order of arrival. Only a refused connection counts. `radishpaddlectl trace` knows the events and the outcome, and no longer says "not run" of an outcome that it does not know. Boards forget when they told of gateways that are gone.

--- a/crates/coordinator/src/board.rs
+++ b/crates/coordinator/src/board.rs
@@ -129,7 +129,7 @@
     ) -> bool {
         let before = self.suspects.position();
         for crash in crashes {
-            if self.suspects.record(*crash, now) {
+            if self.suspects.record(crash, now) {
                 self.unsent.crashes.push(*crash);
             }
         }
@@ -156,7 +156,7 @@
             self.add_evidence(gateway, evidence);
         }
         for crash in exchange.crashes {
-            self.suspects.record(crash, now);
+            self.suspects.record(&crash, now);
         }
         for request in exchange.answered {
             self.suspects.clear(&request);
@@ -190,7 +190,7 @@
             gateways: gateways
                 .map(|gateway| (gateway.presence.clone(), age(gateway.heard_at)))
                 .collect(),
-            crashes: self.suspects.crashes().collect(),
+            crashes: self.suspects.crashes(now),
             ..self.unsent.without_content()
         }
     }
@@ -201,6 +201,8 @@
         self.suspects.expire(now);
         self.gateways
             .retain(|_, known| now.saturating_sub(known.heard_at) < GATEWAY_FORGOTTEN);
+        self.told_at
+            .retain(|name, _| self.gateways.contains_key(name));
     }
 
     /// Addresses of gateways that take callers from an availability zone.
--- a/crates/coordinator/src/suspects.rs
+++ b/crates/coordinator/src/suspects.rs
@@ -1,4 +1,7 @@
 //! Requests that were in flight when backend servers ended, from the reports of all gateways.
+//!
+//! Servers that end at the same moment, with a rack for instance, have another cause than the requests that they share.
+//! Crashes count for a request only when each was sent after the server before had ended.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -14,34 +17,39 @@
 /// Crashes that are told apart for one request; more of them change nothing.
 const MAX_CRASHES: usize = 16;
 
-#[derive(Debug)]
-struct Suspect {
-    servers: Vec<u64>,
-    crashed_at: Duration,
+/// One crash, in local time.
+#[derive(Debug, Clone, Copy)]
+struct Crash {
+    server: u64,
+    sent_at: Duration,
+    ended_at: Duration,
 }
 
 /// Suspect requests, with a position that grows with each change.
 #[derive(Debug, Default)]
 pub struct Suspects {
-    suspects: HashMap<Fingerprint, Suspect>,
+    suspects: HashMap<Fingerprint, Vec<Crash>>,
     position: u64,
 }
 
 impl Suspects {
     /// Counts a crash. Returns whether it is new: several gateways may have had the request at the same server.
-    pub fn record(&mut self, crash: RequestCrash, now: Duration) -> bool {
+    pub fn record(&mut self, crash: &RequestCrash, now: Duration) -> bool {
         if !self.suspects.contains_key(&crash.request) {
             self.make_room();
         }
-        let suspect = self.suspects.entry(crash.request).or_insert(Suspect {
-            servers: Vec::new(),
-            crashed_at: now,
-        });
-        if suspect.servers.contains(&crash.server) || suspect.servers.len() >= MAX_CRASHES {
+        let crashes = self.suspects.entry(crash.request).or_default();
+        let known = crashes.iter().any(|known| known.server == crash.server);
+        if known || crashes.len() >= MAX_CRASHES {
             return false;
         }
-        suspect.servers.push(crash.server);
-        suspect.crashed_at = now;
+        let at = |ago_ms: u32| now.saturating_sub(Duration::from_millis(ago_ms.into()));
+        crashes.push(Crash {
+            server: crash.server,
+            sent_at: at(crash.sent_ms_ago),
+            ended_at: at(crash.ended_ms_ago),
+        });
+        crashes.sort_by_key(|crash| crash.ended_at);
         self.position += 1;
         true
     }
@@ -57,7 +65,7 @@
     pub fn expire(&mut self, now: Duration) {
         let before = self.suspects.len();
         self.suspects
-            .retain(|_, suspect| now.saturating_sub(suspect.crashed_at) < REMEMBERED);
+            .retain(|_, crashes| now.saturating_sub(last_end(crashes)) < REMEMBERED);
         self.position += u64::from(self.suspects.len() != before);
     }
 
@@ -72,22 +80,30 @@
     pub fn list(&self) -> Vec<SuspectRequest> {
         let suspects = self.suspects.iter();
         suspects
-            .map(|(request, suspect)| SuspectRequest {
+            .map(|(request, crashes)| SuspectRequest {
                 request: *request,
-                crashes: u32::try_from(suspect.servers.len()).unwrap_or(u32::MAX),
+                crashes: in_sequence(crashes),
             })
             .collect()
     }
 
     /// Every crash that is known, for a coordinator that has just started.
-    pub fn crashes(&self) -> impl Iterator<Item = RequestCrash> {
-        self.suspects.iter().flat_map(|(request, suspect)| {
-            let servers = suspect.servers.iter();
-            servers.map(|server| RequestCrash {
+    #[must_use]
+    pub fn crashes(&self, now: Duration) -> Vec<RequestCrash> {
+        let ago = |at: Duration| {
+            let age = now.saturating_sub(at).as_millis();
+            u32::try_from(age).unwrap_or(u32::MAX)
+        };
+        let suspects = self.suspects.iter();
+        let crashes = suspects.flat_map(|(request, crashes)| {
+            crashes.iter().map(|crash| RequestCrash {
                 request: *request,
-                server: *server,
+                server: crash.server,
+                sent_ms_ago: ago(crash.sent_at),
+                ended_ms_ago: ago(crash.ended_at),
             })
-        })
+        });
+        crashes.collect()
     }
 
     fn make_room(&mut self) {
@@ -97,9 +113,29 @@
         let oldest = self
             .suspects
             .iter()
-            .min_by_key(|(_, suspect)| suspect.crashed_at);
+            .min_by_key(|(_, crashes)| last_end(crashes));
         if let Some(request) = oldest.map(|(request, _)| *request) {
             self.suspects.remove(&request);
         }
     }
 }
+
+fn last_end(crashes: &[Crash]) -> Duration {
+    crashes
+        .last()
+        .map_or(Duration::ZERO, |crash| crash.ended_at)
+}
+
+/// Length of the longest sequence of crashes of which each was sent after the one before had ended; `crashes` is in the
+/// order of the ends.
+fn in_sequence(crashes: &[Crash]) -> u32 {
+    let mut count = 0;
+    let mut last_end = None;
+    for crash in crashes {
+        if last_end.is_none_or(|end| crash.sent_at >= end) {
+            count += 1;
+            last_end = Some(crash.ended_at);
+        }
+    }
+    count
+}
--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -16,7 +16,7 @@
 const MAX_SHOWN: usize = 8;
 
 /// Events that change what a process believes.
-const BELIEFS: [&str; 9] = [
+const BELIEFS: [&str; 12] = [
     "start",
     "stop",
     "stopped",
@@ -26,6 +26,9 @@
     "coordinator_lost",
     "coordinator_regained",
     "backend_server_retired",
+    "request_crash",
+    "request_quarantined",
+    "suspect_requests",
 ];
 
 /// Reads the files and explains the request with the id.
@@ -149,7 +152,10 @@
     let changed = |event: &&Value| {
         let name = event["event"].as_str().unwrap_or_default();
         let own = event["instance"] == request["instance"];
-        let shared = matches!(name, "config_submitted" | "backend_server_retired");
+        let shared = matches!(
+            name,
+            "config_submitted" | "backend_server_retired" | "suspect_requests"
+        );
         BELIEFS.contains(&name) && (own || shared) && (begin..=at(request)).contains(&at(event))
     };
     for event in events.iter().rev().filter(changed).take(MAX_SHOWN) {
@@ -183,6 +189,11 @@
         "timed_out" => "may have run: no answer within the time of the route or the caller",
         "key_unknown" => "not run: the key is missing, unknown or withdrawn",
         "no_route" => "not run: no route of the configuration takes the path",
-        _ => "not run: the request was refused",
+        "crashes_backend_servers" => {
+            "not run: backend servers ended one after the other with this request in flight"
+        }
+        "bad_request" => "not run: the request is malformed",
+        "too_large" => "not run: the body is larger than the configuration allows",
+        _ => "this version does not know the outcome; whether it ran is not said",
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use radishpaddle_model::{Fingerprint, RequestCrash, RoutingRule};
+use radishpaddle_kernel::boot_clock;
+use radishpaddle_model::{Fingerprint, RoutingRule};
 use serde::Serialize;
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::{Answer, Refusal};
 use crate::backend_connection::{BackendAnswer, BackendConnection, SendFailure, Sent};
+use crate::crash_watch::SeenCrash;
 use crate::forward::{ForwardRequest, strip};
 use crate::gateway::Shared;
 use crate::pool::{AttemptResult, Chosen};
@@ -155,12 +157,15 @@
     }
 
     /// The connection broke off with the request in flight: the server may be gone because of it.
-    fn check_crash(&self, chosen: &Chosen) {
+    fn check_crash(&self, chosen: &Chosen, started_at: Instant) {
         let shared = Arc::clone(&self.shared);
         let (server, address) = (Arc::clone(&chosen.id), chosen.address);
-        let crash = RequestCrash {
+        let now = boot_clock::now();
+        let crash = SeenCrash {
             request: self.fingerprint(),
             server: chosen.life,
+            sent_at: now.saturating_sub(started_at.elapsed()),
+            ended_at: now,
         };
         tokio::spawn(async move { shared.check_crash(&server, address, crash).await });
     }
@@ -174,16 +179,16 @@
         };
         let reused = chosen.connection.is_some();
         let connection = match chosen.connection.take() {
-            Some(connection) => Some(connection),
+            Some(connection) => Ok(connection),
             None => BackendConnection::open(chosen.address, self.left()).await,
         };
         let (next, result, name, connection) = match connection {
-            Some(connection) => self.send(connection, &chosen.id).await,
-            None => not_sent("not_connected", AttemptResult::NotConnected),
+            Ok(connection) => self.send(connection, &chosen.id).await,
+            Err(_) => not_sent("not_connected", AttemptResult::NotConnected),
         };
         in_flight.finish(result, connection);
         match name {
-            "connection_lost" => self.check_crash(&chosen),
+            "connection_lost" => self.check_crash(&chosen, started_at),
             "answered" => self.shared.record_answer(|| self.fingerprint()),
             _ => (),
         }
--- a/crates/gateway/src/backend_connection.rs
+++ b/crates/gateway/src/backend_connection.rs
@@ -1,6 +1,7 @@
 //! One HTTP/1.1 connection to a backend server. Nothing is repeated here: the result says whether the
 //! request may have reached the server.
 
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -79,20 +80,35 @@
     }
 }
 
+/// Why there is no connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectFailure {
+    /// The machine answers, and no process listens there.
+    Refused,
+    /// No answer in time, or an error of the path or of this process.
+    Unreachable,
+}
+
 impl BackendConnection {
-    /// Connects within a limit; `None` when the server cannot be reached in time.
-    pub async fn open(address: SocketAddr, limit: Duration) -> Option<Self> {
+    /// Connects within a limit.
+    ///
+    /// # Errors
+    ///
+    /// Says whether the server refused the connection or cannot be reached in time.
+    pub async fn open(address: SocketAddr, limit: Duration) -> Result<Self, ConnectFailure> {
         let connect = async {
-            let stream = TcpStream::connect(address).await.ok()?;
-            stream.set_nodelay(true).ok()?;
-            http1::handshake(TokioIo::new(stream)).await.ok()
+            let stream = TcpStream::connect(address).await.map_err(connect_failure)?;
+            stream.set_nodelay(true).map_err(connect_failure)?;
+            let handshake = http1::handshake(TokioIo::new(stream)).await;
+            handshake.map_err(|_| ConnectFailure::Unreachable)
         };
-        let (sender, connection) = timeout(limit.min(CONNECT_TIMEOUT), connect).await.ok()??;
+        let connected = timeout(limit.min(CONNECT_TIMEOUT), connect).await;
+        let (sender, connection) = connected.unwrap_or(Err(ConnectFailure::Unreachable))?;
         let task = tokio::spawn(async move {
             // The sender learns of the end of the connection.
             let _ = connection.await;
         });
-        Some(Self {
+        Ok(Self {
             sender,
             task: task.abort_handle(),
             idle_since: Instant::now(),
@@ -174,6 +190,18 @@
     }
 }
 
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "used as a function for errors"
+)]
+fn connect_failure(error: io::Error) -> ConnectFailure {
+    if error.kind() == io::ErrorKind::ConnectionRefused {
+        ConnectFailure::Refused
+    } else {
+        ConnectFailure::Unreachable
+    }
+}
+
 /// The whole answer; `None` when it is cut or not the server's own bytes.
 async fn collect(response: Response<Incoming>) -> Option<BackendAnswer> {
     let (parts, mut body) = response.into_parts();
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -14,9 +14,22 @@
 /// Own crashes that are remembered, for coordinators that start anew.
 const MAX_OWN: usize = 256;
 
+/// A crash that this gateway saw.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SeenCrash {
+    /// The request.
+    pub request: Fingerprint,
+    /// Life of the backend server.
+    pub server: u64,
+    /// Local time at which the request was sent.
+    pub sent_at: Duration,
+    /// Local time at which the connection broke off.
+    pub ended_at: Duration,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct OwnCrash {
-    crash: RequestCrash,
+    seen: SeenCrash,
     reported: bool,
 }
 
@@ -43,15 +56,16 @@
     }
 
     /// Counts a crash that this gateway saw.
-    pub fn record_crash(&mut self, crash: RequestCrash) {
-        if self.own.iter().any(|own| own.crash == crash) {
+    pub fn record_crash(&mut self, seen: SeenCrash) {
+        let key = (seen.request, seen.server);
+        if self.own.iter().any(|own| own.key() == key) {
             return;
         }
         if self.own.len() >= MAX_OWN {
             self.own.remove(0);
         }
         self.own.push(OwnCrash {
-            crash,
+            seen,
             reported: false,
         });
     }
@@ -65,19 +79,20 @@
 
     /// What a coordinator has to know: news, or everything that this gateway saw.
     #[must_use]
-    pub fn report(&self, everything: bool) -> (Vec<RequestCrash>, Vec<Fingerprint>) {
+    pub fn report(&self, everything: bool, now: Duration) -> (Vec<RequestCrash>, Vec<Fingerprint>) {
         let own = self.own.iter();
         let news = own.filter(|own| everything || !own.reported);
-        (news.map(|own| own.crash).collect(), self.answered.clone())
+        let crashes = news.map(|own| own.report(now)).collect();
+        (crashes, self.answered.clone())
     }
 
     /// Marks a report as taken by a coordinator.
     pub fn acknowledge(&mut self, crashes: &[RequestCrash], answered: &[Fingerprint]) {
         for own in &mut self.own {
-            own.reported |= crashes.contains(&own.crash);
+            let taken = |crash: &RequestCrash| (crash.request, crash.server) == own.key();
+            own.reported |= crashes.iter().any(taken);
         }
-        self.own
-            .retain(|own| !answered.contains(&own.crash.request));
+        self.own.retain(|own| !answered.contains(&own.seen.request));
         self.answered.retain(|request| !answered.contains(request));
     }
 
@@ -96,7 +111,7 @@
         if continued {
             let suspects = &self.suspects;
             self.own
-                .retain(|own| !own.reported || suspects.contains_key(&own.crash.request));
+                .retain(|own| !own.reported || suspects.contains_key(&own.seen.request));
         }
         let refused = list.into_iter().filter(|suspect| {
             let known = before.get(&suspect.request).copied().unwrap_or_default();
@@ -105,3 +120,22 @@
         refused.collect()
     }
 }
+
+impl OwnCrash {
+    const fn key(&self) -> (Fingerprint, u64) {
+        (self.seen.request, self.seen.server)
+    }
+
+    fn report(&self, now: Duration) -> RequestCrash {
+        let ago = |at: Duration| {
+            let age = now.saturating_sub(at).as_millis();
+            u32::try_from(age).unwrap_or(u32::MAX)
+        };
+        RequestCrash {
+            request: self.seen.request,
+            server: self.seen.server,
+            sent_ms_ago: ago(self.seen.sent_at),
+            ended_ms_ago: ago(self.seen.ended_at),
+        }
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,9 +16,9 @@
 use tokio::time::{Instant, timeout_at};
 use tokio_util::sync::CancellationToken;
 
-use crate::backend_connection::{BackendConnection, CONNECT_TIMEOUT};
+use crate::backend_connection::{BackendConnection, CONNECT_TIMEOUT, ConnectFailure};
 use crate::callers::CallerListener;
-use crate::crash_watch::{CRASH_CHECK_PAUSE, CrashWatch};
+use crate::crash_watch::{CRASH_CHECK_PAUSE, CrashWatch, SeenCrash};
 use crate::forward::Headers;
 use crate::metrics::GatewayMetrics;
 use crate::poll_task;
@@ -298,13 +298,14 @@
         }
     }
 
-    /// Looks whether a server that broke off a request still accepts connections; if not, the request counts as in
-    /// flight at a crash. A server in a spell of resets accepts connections.
-    pub(crate) async fn check_crash(&self, server: &str, address: SocketAddr, crash: RequestCrash) {
+    /// Looks whether a server that broke off a request still accepts connections. If it refuses, the request counts as
+    /// in flight at a crash. A server in a spell of resets accepts connections, and behind a cut path there is no answer.
+    pub(crate) async fn check_crash(&self, server: &str, address: SocketAddr, crash: SeenCrash) {
         tokio::time::sleep(CRASH_CHECK_PAUSE).await;
-        if let Some(connection) = BackendConnection::open(address, CONNECT_TIMEOUT).await {
-            lock(&self.pools).keep(server, connection);
-            return;
+        match BackendConnection::open(address, CONNECT_TIMEOUT).await {
+            Ok(connection) => return lock(&self.pools).keep(server, connection),
+            Err(ConnectFailure::Unreachable) => return,
+            Err(ConnectFailure::Refused) => (),
         }
         self.log.record(
             "request_crash",
@@ -316,7 +317,7 @@
     }
 
     pub(crate) fn report_crashes(&self, everything: bool) -> (Vec<RequestCrash>, Vec<Fingerprint>) {
-        lock(&self.crash_watch).report(everything)
+        lock(&self.crash_watch).report(everything, boot_clock::now())
     }
 
     /// Takes the list of suspects of a coordinator that has taken a report.
--- a/crates/model/src/presence.rs
+++ b/crates/model/src/presence.rs
@@ -74,13 +74,17 @@
 }
 
 /// A backend server that ended with a request in flight.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct RequestCrash {
     /// The request.
     pub request: Fingerprint,
     /// Life of the backend server, see [`ServerPresence::life`].
     pub server: u64,
+    /// Age of the send when this was reported.
+    pub sent_ms_ago: u32,
+    /// Age of the end of the server when this was reported.
+    pub ended_ms_ago: u32,
 }
 
 /// A request that was in flight when backend servers ended.
@@ -89,7 +93,7 @@
 pub struct SuspectRequest {
     /// The request.
     pub request: Fingerprint,
-    /// Lives of backend servers that ended with it in flight, without an answer to it since the first one.
+    /// Backend servers that ended with it in flight one after the other, without an answer to it since the first one.
     pub crashes: u32,
 }
 
