Let new coordinators join through contacts that do not lead, apply reloaded contacts, name all gateways

Found at the read-through: - A coordinator wrote a "reload" line with the new contacts and went on asking the old ones. Contacts now reach the replica. - The test for that showed more: a new replica whose contacts did not contain the leader never joined. Followers dropped its request, and its answers to the leader went to the contacts, which dropped them too; repair then removed the silent learner. Followers now pass the request on once, and pass on consensus messages that are for another member. - An answer of the directory holds 64 addresses, and every coordinator named the same first 64 of a zone, so that further gateways got no callers. Each coordinator now names a stable choice of its own. - Gateways kept every retirement for ever.

--- a/crates/control/src/peer_handler.rs
+++ b/crates/control/src/peer_handler.rs
@@ -1,6 +1,7 @@
 //! Answers the requests of other processes of the fleet.
 
-use radishpaddle_consensus::{Message, ReplicaId};
+use radishpaddle_consensus::Message;
+use radishpaddle_replication::JoinRequest;
 use radishpaddle_wire::message::{Empty, failure, request, response};
 use radishpaddle_wire::{PeerHandler, PeerIdentity, decode, failure as refusal};
 
@@ -22,9 +23,9 @@
                 }
                 Err(error) => refusal(failure::Reason::Malformed, error.to_string()),
             },
-            request::Kind::Join(bytes) => match decode::<(u64, String)>(&bytes) {
-                Ok((id, address)) => {
-                    self.replica.join(ReplicaId(id), address.into()).await;
+            request::Kind::Join(bytes) => match decode::<JoinRequest>(&bytes) {
+                Ok(join) => {
+                    self.replica.join(join).await;
                     response::Kind::Empty(Empty {})
                 }
                 Err(error) => refusal(failure::Reason::Malformed, error.to_string()),
--- a/crates/coordinator/src/board.rs
+++ b/crates/coordinator/src/board.rs
@@ -8,6 +8,7 @@
 
 use radishpaddle_model::{
     Fingerprint, GatewayPresence, OrganisationDemand, RequestCrash, ServerEvidence, ServerPresence,
+    name_hash,
 };
 use radishpaddle_wire::PresenceExchange;
 
@@ -205,9 +206,10 @@
             .retain(|name, _| self.gateways.contains_key(name));
     }
 
-    /// Addresses of gateways that take callers from an availability zone.
+    /// Addresses of gateways that take callers from an availability zone, `most` of them. Where there are more, each
+    /// coordinator names others, and the same ones every time: callers leave addresses that are named no longer.
     #[must_use]
-    pub fn addresses(&self, zone: Option<&str>, now: Duration) -> Vec<SocketAddr> {
+    pub fn addresses(&self, zone: Option<&str>, most: usize, now: Duration) -> Vec<SocketAddr> {
         let listed = |known: &&KnownGateway| {
             known.presence.ready && now.saturating_sub(known.heard_at) <= GATEWAY_LISTED
         };
@@ -221,7 +223,9 @@
         } else {
             ready.iter().map(|known| known.presence.address).collect()
         };
-        addresses.sort();
+        let own = self.unsent.address;
+        addresses.sort_by_key(|address| name_hash(&format!("{own}{address}")));
+        addresses.truncate(most);
         addresses
     }
 
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -259,12 +259,13 @@
         result.map(|_| ()).map_err(|_| AnnounceError::Unavailable)
     }
 
-    /// Addresses for a caller in an availability zone, and the time for which it may keep them.
+    /// Addresses for a caller in an availability zone, `most` of them, and the time for which it may keep them.
     #[must_use]
-    pub fn addresses(&self, zone: Option<&str>) -> (Vec<SocketAddr>, Duration) {
+    pub fn addresses(&self, zone: Option<&str>, most: usize) -> (Vec<SocketAddr>, Duration) {
         self.shared.metrics.lookups.inc();
         let ttl = Duration::from_millis(self.shared.settings.address_ttl_ms);
-        (self.board().addresses(zone, boot_clock::now()), ttl)
+        let addresses = self.board().addresses(zone, most, boot_clock::now());
+        (addresses, ttl)
     }
 
     /// Metrics as text.
@@ -276,6 +277,11 @@
         self.shared.metrics.render(&view, servers, gateways)
     }
 
+    /// Replaces the coordinators that are asked to let this one join.
+    pub fn set_contacts(&self, contacts: Vec<SocketAddr>) {
+        self.shared.replica.set_contacts(contacts);
+    }
+
     /// Hands the leadership over before a planned stop.
     pub async fn stop(&self) {
         self.shared.replica.step_down().await;
@@ -427,11 +433,7 @@
             table_position: board.table.position(),
             servers: servers.collect(),
             removed: if whole { Vec::new() } else { removed },
-            retired: if moved {
-                view.state.retirements().cloned().collect()
-            } else {
-                Vec::new()
-            },
+            retired: moved.then(|| view.state.retirements().cloned().collect()),
             applied_index: view.applied_index,
             evidence_position: board.evidence_position(),
             evidence: board.evidence_since(evidence_position, instance),
--- a/crates/coordinator/src/peer_handler.rs
+++ b/crates/coordinator/src/peer_handler.rs
@@ -1,7 +1,8 @@
 //! Requests of other coordinators and of gateways.
 
-use radishpaddle_consensus::{Message, ReplicaId};
+use radishpaddle_consensus::Message;
 use radishpaddle_kernel::boot_clock;
+use radishpaddle_replication::JoinRequest;
 use radishpaddle_wire::message::{Empty, failure, request, response};
 use radishpaddle_wire::{
     GatewayPoll, PeerHandler, PeerIdentity, PresenceExchange, WireError, decode, encode,
@@ -46,9 +47,8 @@
     }
 
     async fn join(&self, bytes: &[u8]) -> Answered {
-        let (id, address): (u64, String) = decode(bytes)?;
-        let replica = self.coordinator.replica();
-        replica.join(ReplicaId(id), address.into()).await;
+        let join: JoinRequest = decode(bytes)?;
+        self.coordinator.replica().join(join).await;
         Ok(response::Kind::Empty(Empty {}))
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -180,7 +180,9 @@
             for id in &reply.removed {
                 pools.remove(id);
             }
-            pools.retire(reply.retired);
+            if let Some(retired) = reply.retired {
+                pools.retire(retired, reply.applied_index);
+            }
             for (gateway, evidence) in reply.evidence {
                 pools.observe(gateway, evidence, now);
             }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -111,6 +111,8 @@
     service_of: HashMap<Arc<str>, Arc<str>>,
     by_key: HashMap<u32, Arc<str>>,
     retired: HashMap<Arc<str>, Retirement>,
+    /// Index of the log of the newest list of retirements.
+    retired_index: u64,
     budgets: HashMap<Arc<str>, RetryBudget>,
     budget_settings: RetryBudgetSettings,
     gateways: u32,
@@ -159,6 +161,7 @@
             service_of: HashMap::new(),
             by_key: HashMap::new(),
             retired: HashMap::new(),
+            retired_index: 0,
             budgets: HashMap::new(),
             budget_settings,
             gateways: 1,
@@ -228,8 +231,13 @@
         }
     }
 
-    /// Takes retirements; the newest of each backend server counts.
-    pub fn retire(&mut self, retirements: Vec<Retirement>) {
+    /// Takes the retirements up to an index of the log. A newer list replaces the one before, since coordinators forget
+    /// old ones; of an older list the newest retirement of each backend server counts.
+    pub fn retire(&mut self, retirements: Vec<Retirement>, applied_index: u64) {
+        if applied_index >= self.retired_index {
+            self.retired_index = applied_index;
+            self.retired.clear();
+        }
         for retirement in retirements {
             let rank = |known: &Retirement| (known.started_at_ms, known.state);
             let known = self.retired.get(&retirement.id);
--- a/crates/gateway/tests/polls.rs
+++ b/crates/gateway/tests/polls.rs
@@ -56,7 +56,7 @@
         table_position: 1,
         servers: Vec::new(),
         removed: Vec::new(),
-        retired: Vec::new(),
+        retired: None,
         applied_index: 1,
         evidence_position: 1,
         evidence: Vec::new(),
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -6,7 +6,7 @@
 
 use radishpaddle_gateway::pool::Pools;
 use radishpaddle_gateway::settings::RetryBudgetSettings;
-use radishpaddle_model::{BackendState, ServerEvidence, ServerPresence, short_key};
+use radishpaddle_model::{BackendState, Retirement, ServerEvidence, ServerPresence, short_key};
 use radishpaddle_wire::ServerNews;
 
 const SERVERS: usize = 300;
@@ -93,3 +93,34 @@
 
     assert!(best.count() > 20);
 }
+
+fn retirement(number: usize) -> Retirement {
+    Retirement {
+        id: server_name(number),
+        started_at_ms: 1,
+        state: BackendState::Left,
+    }
+}
+
+fn is_chosen(pools: &mut Pools, number: usize) -> bool {
+    let others = (0..SERVERS).filter(|other| *other != number);
+    let others: Vec<_> = others.map(server_name).collect();
+    let choice = pools.choose("lookups", false, true, &others, NOW);
+    choice.is_some()
+}
+
+/// Guards against a retirement that is lost with the answer of a coordinator that is behind, and against a memory of
+/// retirements that only grows.
+#[test]
+fn a_newer_list_of_retirements_replaces_the_one_before() {
+    let mut pools = pools();
+
+    pools.retire(vec![retirement(1), retirement(2)], 10);
+    pools.retire(vec![retirement(3)], 9);
+    let after_older = [1, 2, 3, 4].map(|number| is_chosen(&mut pools, number));
+    pools.retire(vec![retirement(2)], 11);
+    let after_newer = [1, 2, 3, 4].map(|number| is_chosen(&mut pools, number));
+
+    assert_eq!(after_older, [false, false, false, true]);
+    assert_eq!(after_newer, [true, false, true, true]);
+}
--- a/crates/replication/src/handle.rs
+++ b/crates/replication/src/handle.rs
@@ -10,10 +10,11 @@
     Membership, MembershipChange, Message, ProposeError, ReplicaId, Role,
 };
 use radishpaddle_wire::ClientIdentity;
+use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::state::ReplicatedState;
-use crate::supervisor::{self, Opened};
+use crate::supervisor::{self, Inputs, Opened};
 
 /// Commands that wait for the task.
 const COMMAND_QUEUE: usize = 1024;
@@ -93,11 +94,24 @@
     pub found: bool,
 }
 
+/// A replica asks to become a learner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct JoinRequest {
+    /// Identity of the replica and its disk.
+    pub id: u64,
+    /// Its peer address.
+    pub address: Arc<str>,
+    /// Whether another replica passed the request on to the one that it takes for the leader. It is passed on once, so
+    /// that two replicas that take each other for the leader do not go on for ever.
+    pub passed_on: bool,
+}
+
 pub(crate) enum Command<S: ReplicatedState> {
     Propose(Box<S::Command>, oneshot::Sender<ProposeReply<S>>),
     Read(oneshot::Sender<ReadReply<S>>),
     Receive(Box<Message>),
-    Join(ReplicaId, Arc<str>),
+    Join(JoinRequest),
     Change(MembershipChange, oneshot::Sender<Result<(), ProposeError>>),
     StepDown,
 }
@@ -108,6 +122,7 @@
 /// Handle to the replica of this process.
 pub struct ReplicaHandle<S: ReplicatedState> {
     commands: mpsc::Sender<Command<S>>,
+    contacts: watch::Sender<Vec<SocketAddr>>,
     view: watch::Receiver<ReplicaView<S>>,
 }
 
@@ -115,6 +130,7 @@
     fn clone(&self) -> Self {
         Self {
             commands: self.commands.clone(),
+            contacts: self.contacts.clone(),
             view: self.view.clone(),
         }
     }
@@ -131,9 +147,15 @@
         let opened = Opened::<S>::open(&settings)?;
         let (commands, receiver) = mpsc::channel(COMMAND_QUEUE);
         let (view, watch) = watch::channel(opened.view());
-        tokio::spawn(supervisor::run(settings, identity, opened, receiver, view));
+        let contacts = watch::Sender::new(settings.contacts.clone());
+        let inputs = Inputs {
+            commands: receiver,
+            contacts: contacts.subscribe(),
+        };
+        tokio::spawn(supervisor::run(settings, identity, opened, inputs, view));
         Ok(Self {
             commands,
+            contacts,
             view: watch,
         })
     }
@@ -187,9 +209,9 @@
         let _ = self.send(Command::Receive(Box::new(message))).await;
     }
 
-    /// Another replica asks to become a learner.
-    pub async fn join(&self, id: ReplicaId, address: Arc<str>) {
-        let _ = self.send(Command::Join(id, address)).await;
+    /// Another replica asks to become a learner. A leader admits it, others pass the request on.
+    pub async fn join(&self, request: JoinRequest) {
+        let _ = self.send(Command::Join(request)).await;
     }
 
     /// Proposes a change of the members.
@@ -206,6 +228,11 @@
         answer.await.unwrap_or(Err(not_leader))
     }
 
+    /// Replaces the replicas that are asked to let this one join.
+    pub fn set_contacts(&self, contacts: Vec<SocketAddr>) {
+        self.contacts.send_replace(contacts);
+    }
+
     /// Hands the leadership over before a planned stop.
     pub async fn step_down(&self) {
         let _ = self.send(Command::StepDown).await;
@@ -230,7 +257,7 @@
             Self::Change(_, reply) => {
                 let _ = reply.send(Err(ProposeError::NotLeader { leader: None }));
             }
-            Self::Receive(_) | Self::Join(..) | Self::StepDown => (),
+            Self::Receive(_) | Self::Join(_) | Self::StepDown => (),
         }
     }
 }
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -8,6 +8,6 @@
 mod supervisor;
 
 pub use handle::{
-    Confirmed, ReplicaError, ReplicaHandle, ReplicaSettings, ReplicaView, VoterTarget,
+    Confirmed, JoinRequest, ReplicaError, ReplicaHandle, ReplicaSettings, ReplicaView, VoterTarget,
 };
 pub use state::ReplicatedState;
--- a/crates/replication/src/replica_task.rs
+++ b/crates/replication/src/replica_task.rs
@@ -17,7 +17,8 @@
 
 use crate::disk::{DiskDone, DiskJob};
 use crate::handle::{
-    Command, Confirmed, ProposeReply, ReadReply, ReplicaError, ReplicaView, VoterTarget,
+    Command, Confirmed, JoinRequest, ProposeReply, ReadReply, ReplicaError, ReplicaView,
+    VoterTarget,
 };
 use crate::state::ReplicatedState;
 
@@ -27,7 +28,7 @@
 /// Entries after which a snapshot is made, so that a restart reads few entries.
 const SNAPSHOT_EVERY: u64 = 2_000;
 
-/// Bytes of the log in memory after which a snapshot is made: the machines have 256 MB.
+/// Bytes of the log in memory after which a snapshot is made, so that large entries leave room in a small instance.
 const SNAPSHOT_LOG_BYTES: usize = 16 << 20;
 
 /// Longest wait for the delivery of one consensus message.
@@ -54,7 +55,7 @@
     pub(crate) peers: HashMap<Arc<str>, PeerClient>,
     pub(crate) identity: ClientIdentity,
     pub(crate) own_address: Arc<str>,
-    pub(crate) contacts: Vec<SocketAddr>,
+    pub(crate) contacts: watch::Receiver<Vec<SocketAddr>>,
     pub(crate) voters: VoterTarget,
     pub(crate) next_join_tick: u32,
     /// Whether another member told that this replica lost its vote.
@@ -114,8 +115,8 @@
         match command {
             Command::Propose(command, reply) => self.propose(&command, reply),
             Command::Read(reply) => self.read(reply),
-            Command::Receive(message) => self.replica.receive(*message),
-            Command::Join(id, address) => self.admit(id, address),
+            Command::Receive(message) => self.receive(*message),
+            Command::Join(request) => self.admit(request),
             Command::Change(change, reply) => {
                 let _ = reply.send(self.replica.propose_membership(&change).map(|_| ()));
             }
@@ -125,6 +126,19 @@
         }
     }
 
+    /// A replica that is joining does not know the address of the leader, and sends its answers to its contacts.
+    fn receive(&mut self, message: Message) {
+        if message.to == self.replica.id() {
+            self.replica.receive(message);
+            return;
+        }
+        let member = self.replica.membership().members.get(&message.to);
+        let address = member.map(|member| Arc::clone(&member.address));
+        if let Some(address) = address.filter(|address| *address != self.own_address) {
+            self.deliver(&address, request::Kind::Consensus(message.encode()));
+        }
+    }
+
     fn propose(&mut self, command: &S::Command, reply: oneshot::Sender<ProposeReply<S>>) {
         let bytes = match serde_json::to_vec(command) {
             Ok(bytes) => bytes,
@@ -157,8 +171,13 @@
         }
     }
 
-    fn admit(&mut self, id: ReplicaId, address: Arc<str>) {
-        if self.replica.role() != Role::Leader || self.replica.membership().role(id).is_some() {
+    fn admit(&mut self, request: JoinRequest) {
+        if self.replica.role() != Role::Leader {
+            self.pass_on(request);
+            return;
+        }
+        let (id, address) = (ReplicaId(request.id), request.address);
+        if self.replica.membership().role(id).is_some() {
             return;
         }
         self.remove_earlier_disk(id, &address);
@@ -169,6 +188,31 @@
         }
     }
 
+    /// The contacts of a new replica need not contain the leader.
+    fn pass_on(&mut self, request: JoinRequest) {
+        let leader = self.replica.leader();
+        let members = &self.replica.membership().members;
+        let leader = leader.and_then(|leader| members.get(&leader));
+        let leader = leader.map(|member| Arc::clone(&member.address));
+        if request.passed_on || leader.as_ref() == Some(&self.own_address) {
+            return;
+        }
+        if let Some(leader) = leader {
+            let request = JoinRequest {
+                passed_on: true,
+                ..request
+            };
+            self.ask(&leader, &request);
+        }
+    }
+
+    fn ask(&mut self, address: &Arc<str>, join: &JoinRequest) {
+        match radishpaddle_wire::encode(join) {
+            Ok(bytes) => self.deliver(address, request::Kind::Join(bytes)),
+            Err(error) => log::error!("replica: a request to join cannot be encoded: {error}"),
+        }
+    }
+
     /// A replica that comes back at the same address with another id has lost its disk. A learner is
     /// removed at once; a voter is marked as lost, and repair removes it after its replacement.
     fn remove_earlier_disk(&mut self, id: ReplicaId, address: &Arc<str>) {
@@ -195,20 +239,19 @@
             return;
         }
         self.next_join_tick = JOIN_EVERY_TICKS;
-        let join = (self.replica.id().0, self.own_address.to_string());
-        let Ok(bytes) = radishpaddle_wire::encode(&join) else {
-            return;
+        let join = JoinRequest {
+            id: self.replica.id().0,
+            address: Arc::clone(&self.own_address),
+            passed_on: false,
         };
-        let contacts = self
-            .contacts
-            .iter()
-            .map(|contact| contact.to_string().into());
+        let contacts = self.contacts.borrow().clone();
+        let contacts = contacts.iter().map(|contact| contact.to_string().into());
         let members = self.replica.membership().members.values();
         let members = members.map(|member| Arc::clone(&member.address));
         let asked: BTreeSet<Arc<str>> = contacts.chain(members).collect();
         for address in asked {
             if address != self.own_address {
-                self.deliver(&address, request::Kind::Join(bytes.clone()));
+                self.ask(&address, &join);
             }
         }
     }
@@ -340,8 +383,9 @@
             self.deliver(&address, request::Kind::Consensus(bytes));
             return;
         }
-        // A replica that is joining does not know the members yet; others ignore what is not for them.
-        for contact in self.contacts.clone() {
+        // A replica that is joining does not know the members yet; its contacts pass on what is not for them.
+        let contacts = self.contacts.borrow().clone();
+        for contact in contacts {
             let address: Arc<str> = contact.to_string().into();
             if address != self.own_address {
                 self.deliver(&address, request::Kind::Consensus(bytes.clone()));
--- a/crates/replication/src/supervisor.rs
+++ b/crates/replication/src/supervisor.rs
@@ -1,6 +1,7 @@
 //! Opens the data directory, and again after a failed write.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -88,15 +89,25 @@
     }
 }
 
+/// What handles send to the replica.
+pub(crate) struct Inputs<S: ReplicatedState> {
+    pub(crate) commands: mpsc::Receiver<Command<S>>,
+    pub(crate) contacts: watch::Receiver<Vec<SocketAddr>>,
+}
+
 /// Runs the replica, and opens the data directory again after a failed write: a full disk may have
 /// room again.
 pub(crate) async fn run<S: ReplicatedState>(
     settings: ReplicaSettings,
     identity: ClientIdentity,
     opened: Opened<S>,
-    mut commands: mpsc::Receiver<Command<S>>,
+    inputs: Inputs<S>,
     view: watch::Sender<ReplicaView<S>>,
 ) {
+    let Inputs {
+        mut commands,
+        contacts,
+    } = inputs;
     let mut next = Some(opened);
     loop {
         if let Some(opened) = next.take() {
@@ -115,7 +126,7 @@
                 peers: HashMap::new(),
                 identity: identity.clone(),
                 own_address: settings.own_address.to_string().into(),
-                contacts: settings.contacts.clone(),
+                contacts: contacts.clone(),
                 voters: settings.voters,
                 next_join_tick: 0,
                 removed: false,
--- a/crates/replication/tests/rejoin.rs
+++ b/crates/replication/tests/rejoin.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use radishpaddle_consensus::{MemberRole, Message, ReplicaId, Role};
-use radishpaddle_replication::{ReplicaHandle, ReplicaSettings, ReplicatedState, VoterTarget};
+use radishpaddle_consensus::{MemberRole, Message, Role};
+use radishpaddle_replication::{
+    JoinRequest, ReplicaHandle, ReplicaSettings, ReplicatedState, VoterTarget,
+};
 use radishpaddle_wire::message::{Empty, Hello, request, response};
 use radishpaddle_wire::{
     ClientIdentity, PROTOCOL_VERSION, PeerHandler, PeerIdentity, PeerSecurity, PeerServer,
@@ -52,8 +54,8 @@
                 self.0.receive(Message::decode(&bytes).unwrap()).await;
             }
             request::Kind::Join(bytes) => {
-                let (id, address): (u64, String) = decode(&bytes).unwrap();
-                self.0.join(ReplicaId(id), address.into()).await;
+                let join: JoinRequest = decode(&bytes).unwrap();
+                self.0.join(join).await;
             }
             _ => (),
         }
@@ -88,29 +90,33 @@
     }
 }
 
+async fn start(directory: &Path, address: SocketAddr, contacts: &[SocketAddr]) -> Node {
+    let settings = ReplicaSettings {
+        data_directory: directory.join(address.port().to_string()),
+        own_address: address,
+        contacts: contacts.to_vec(),
+        voters: VoterTarget::Live { least: 3 },
+        repair_after: REPAIR_AFTER,
+        found: contacts.first() == Some(&address),
+    };
+    let identity = ClientIdentity {
+        hello: hello(),
+        security: PeerSecurity::Plain,
+    };
+    let mut node = Node {
+        address,
+        replica: ReplicaHandle::open(settings, identity).unwrap(),
+        server: None,
+    };
+    node.listen().await;
+    node
+}
+
 async fn group(directory: &Path) -> Vec<Node> {
     let addresses: Vec<SocketAddr> = (0..REPLICAS).map(|_| free_address()).collect();
     let mut nodes = Vec::new();
-    for (index, address) in addresses.iter().enumerate() {
-        let settings = ReplicaSettings {
-            data_directory: directory.join(index.to_string()),
-            own_address: *address,
-            contacts: addresses.clone(),
-            voters: VoterTarget::Live { least: 3 },
-            repair_after: REPAIR_AFTER,
-            found: index == 0,
-        };
-        let identity = ClientIdentity {
-            hello: hello(),
-            security: PeerSecurity::Plain,
-        };
-        let mut node = Node {
-            address: *address,
-            replica: ReplicaHandle::open(settings, identity).unwrap(),
-            server: None,
-        };
-        node.listen().await;
-        nodes.push(node);
+    for address in &addresses {
+        nodes.push(start(directory, *address, &addresses).await);
     }
     nodes
 }
@@ -171,3 +177,26 @@
     })
     .await;
 }
+
+/// Guards against a reload that says it took other contacts while the replica goes on asking the old ones, and against
+/// a new replica that stays outside because no contact leads.
+#[tokio::test]
+async fn a_replica_joins_through_contacts_that_it_is_told_later() {
+    let directory = tempfile::tempdir().unwrap();
+    let nodes = group(directory.path()).await;
+    eventually("all replicas vote", || {
+        nodes.iter().all(|node| voters(node) == REPLICAS)
+    })
+    .await;
+    let nobody = free_address();
+    let late = start(directory.path(), free_address(), &[nobody]).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(voters(&late), 0, "it knows nobody");
+
+    let follower = nodes
+        .iter()
+        .find(|node| node.replica.view().role == Role::Follower);
+    late.replica.set_contacts(vec![follower.unwrap().address]);
+
+    eventually("the replica joins", || voters(&late) == REPLICAS + 1).await;
+}
--- a/crates/wire/src/poll.rs
+++ b/crates/wire/src/poll.rs
@@ -56,8 +56,8 @@
     pub servers: Vec<ServerNews>,
     /// Backend servers that are gone.
     pub removed: Vec<Arc<str>>,
-    /// Retirements; all of them when the log moved since the position of the poll.
-    pub retired: Vec<Retirement>,
+    /// All retirements, when the log moved since the position of the poll.
+    pub retired: Option<Vec<Retirement>>,
     /// Index of the log up to which the answer is applied.
     pub applied_index: u64,
     /// Position of this answer in the evidence.
