--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -46,7 +46,7 @@
     events.sort_by_key(at);
     let requests: Vec<&Value> = events
         .iter()
-        .filter(|event| event["request_id"] == id)
+        .filter(|event| event["request_id"] == id && event["outcome"].is_string())
         .collect();
     if requests.is_empty() {
         bail!(
@@ -120,9 +120,25 @@
         )?;
         others_at(&attempt["server"], request, events, text)?;
     }
+    crashes_with(request, events, text)?;
     beliefs_before(request, events, text)
 }
 
+/// Backend servers that ended with the request in flight; known only after its end.
+fn crashes_with(request: &Value, events: &[Value], text: &mut String) -> Result<()> {
+    let own = |event: &&Value| {
+        event["event"] == "request_crash" && event["request_id"] == request["request_id"]
+    };
+    for crash in events.iter().filter(own) {
+        writeln!(
+            text,
+            "  {} refused connections afterwards: it ended with this request in flight; fingerprint {}",
+            crash["backend_server"], crash["fingerprint"]
+        )?;
+    }
+    Ok(())
+}
+
 /// What other requests met at the same backend server about that time.
 fn others_at(server: &Value, request: &Value, events: &[Value], text: &mut String) -> Result<()> {
     let near = |event: &&Value| {
--- a/crates/ctl/tests/trace.rs
+++ b/crates/ctl/tests/trace.rs
@@ -10,6 +10,9 @@
 {"at_unix_ms":100000,"instance":"front-1","event":"request","request_id":"a1","route":"holds","service":"avail","organisation":"estate","outcome":"outcome_unknown","elapsed_ms":2,"deadline_ms":2000,"config_version":7,"proof_age_ms":120,"attempts":[{"server":"i-7f","result":"connection_lost","elapsed_ms":1,"failure_probability":0.4,"in_flight":0,"reused":true}]}
 not a line of the log
 {"at_unix_ms":100100,"instance":"front-1","event":"request","request_id":"c3","route":"holds","service":"avail","organisation":"estate","outcome":"over_quota","elapsed_ms":0,"deadline_ms":2000,"config_version":7,"proof_age_ms":90,"attempts":[]}
+{"at_unix_ms":100052,"instance":"front-1","event":"request_crash","request_id":"a1","backend_server":"i-7f","fingerprint":"07ab"}
+{"at_unix_ms":100500,"instance":"front-1","event":"request","request_id":"d4","outcome":"crashes_backend_servers","elapsed_ms":0,"deadline_ms":2000,"attempts":[]}
+{"at_unix_ms":100600,"instance":"front-1","event":"request","request_id":"e5","outcome":"something_new","elapsed_ms":0,"deadline_ms":2000,"attempts":[]}
 "#;
 
 fn collected() -> (tempfile::TempDir, Vec<PathBuf>) {
@@ -46,6 +49,31 @@
     );
 }
 
+/// Guards against a crash that cannot be followed to the request that was in flight, and against a refusal of a request with
+/// that content that nobody can explain.
+#[test]
+fn a_crash_is_shown_with_its_request() {
+    let (_directory, files) = collected();
+
+    let lost = explain("a1", &files).unwrap();
+    let refused = explain("d4", &files).unwrap();
+
+    assert_eq!(lost.matches("request \"a1\"").count(), 1, "{lost}");
+    assert!(lost.contains("it ended with this request"), "{lost}");
+    assert!(refused.contains("not run: backend servers"), "{refused}");
+    assert!(refused.contains("request_crash"), "{refused}");
+}
+
+/// Guards against "not run" for an outcome of a newer version that may have run.
+#[test]
+fn an_unknown_outcome_claims_nothing() {
+    let (_directory, files) = collected();
+
+    let text = explain("e5", &files).unwrap();
+
+    assert!(!text.contains("not run"), "{text}");
+}
+
 /// Guards against silence that looks like success.
 #[test]
 fn an_unknown_id_is_an_error() {
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
+use radishpaddle_kernel::http_headers;
 use radishpaddle_model::{Fingerprint, OrganisationId, ResultCode, ServiceDocument};
 use radishpaddle_policy::budget::{AttemptFault, FailedAttempt};
 use radishpaddle_policy::hedge::HedgeQuery;
@@ -17,7 +18,7 @@
 use crate::backend_connection::{Attempt, AttemptFailure, BackendAnswer, BackendConnection};
 use crate::backend_info::BackendInfo;
 use crate::clock::Clock;
-use crate::forward::{ForwardRequest, strip_answer_headers};
+use crate::forward::{API_KEY, ForwardRequest, ORGANISATION};
 use crate::poison_task::{LostRequest, Permission, PoisonHandle, Tickets};
 use crate::service_handle::{Acquire, Grant, ServiceHandle};
 
@@ -270,7 +271,9 @@
     }
 
     fn answered(&self, mut answer: BackendAnswer) -> Answer {
-        strip_answer_headers(&mut answer.headers, self.request.is_head());
+        http_headers::strip_answer(&mut answer.headers, self.request.is_head());
+        answer.headers.remove(API_KEY);
+        answer.headers.remove(ORGANISATION);
         Answer {
             code: ResultCode::Answered,
             status: answer.status,
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -7,6 +7,7 @@
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Uri};
+use radishpaddle_kernel::http_headers;
 use radishpaddle_model::{KeyHash, OrganisationId, OrganisationKey};
 
 use crate::answer::REQUEST_ID;
@@ -23,23 +24,6 @@
 /// Header that names an action over its attempts.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
-/// Headers that belong to one connection (RFC 9110, section 7.6.1), and those that carry keys.
-const NOT_FORWARDED: [HeaderName; 13] = [
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::CONTENT_LENGTH,
-    header::EXPECT,
-    header::AUTHORIZATION,
-    API_KEY,
-    ORGANISATION,
-    HeaderName::from_static("keep-alive"),
-];
-
 /// Key that a caller presents in `X-Api-Key` or as bearer token.
 #[must_use]
 pub fn presented_key(headers: &HeaderMap) -> Option<&str> {
@@ -115,10 +99,9 @@
         organisation: Option<&OrganisationId>,
         id: &str,
     ) -> Self {
-        let named = connection_headers(&parts.headers);
-        for name in NOT_FORWARDED.iter().chain(&named) {
-            parts.headers.remove(name);
-        }
+        http_headers::strip(&mut parts.headers);
+        parts.headers.remove(API_KEY);
+        parts.headers.remove(ORGANISATION);
         if let Some(key) = key {
             remove_values_with(&mut parts.headers, key.reveal().as_bytes());
         }
@@ -166,16 +149,6 @@
     }
 }
 
-fn connection_headers(headers: &HeaderMap) -> Vec<HeaderName> {
-    headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect()
-}
-
 fn remove_values_with(headers: &mut HeaderMap, secret: &[u8]) {
     let revealing: Vec<HeaderName> = headers
         .iter()
@@ -186,17 +159,3 @@
         headers.remove(name);
     }
 }
-
-/// Removes the headers of an answer that belong to the connection to the backend server.
-///
-/// The length stays in the answer to HEAD, where it describes a body that is not there.
-pub fn strip_answer_headers(headers: &mut HeaderMap, is_head: bool) {
-    let length = headers.get(header::CONTENT_LENGTH).cloned();
-    let named = connection_headers(headers);
-    for name in NOT_FORWARDED.iter().chain(&named) {
-        headers.remove(name);
-    }
-    if let Some(length) = length.filter(|_| is_head) {
-        headers.insert(header::CONTENT_LENGTH, length);
-    }
-}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use radishpaddle_kernel::boot_clock;
+use radishpaddle_kernel::{boot_clock, http_headers};
 use radishpaddle_model::{Fingerprint, RoutingRule};
 use serde::Serialize;
 use tokio::time::{Instant, timeout_at};
@@ -13,7 +13,7 @@
 use crate::answer::{Answer, Refusal};
 use crate::backend_connection::{BackendAnswer, BackendConnection, SendFailure, Sent};
 use crate::crash_watch::SeenCrash;
-use crate::forward::{ForwardRequest, strip};
+use crate::forward::ForwardRequest;
 use crate::gateway::Shared;
 use crate::pool::{AttemptResult, Chosen};
 
@@ -159,7 +159,8 @@
     /// The connection broke off with the request in flight: the server may be gone because of it.
     fn check_crash(&self, chosen: &Chosen, started_at: Instant) {
         let shared = Arc::clone(&self.shared);
-        let (server, address) = (Arc::clone(&chosen.id), chosen.address);
+        let server = (Arc::clone(&chosen.id), chosen.address);
+        let request_id = self.request.id(&self.shared.headers).map(str::to_owned);
         let now = boot_clock::now();
         let crash = SeenCrash {
             request: self.fingerprint(),
@@ -167,7 +168,7 @@
             sent_at: now.saturating_sub(started_at.elapsed()),
             ended_at: now,
         };
-        tokio::spawn(async move { shared.check_crash(&server, address, crash).await });
+        tokio::spawn(async move { shared.check_crash(server, request_id, crash).await });
     }
 
     async fn attempt(&self, mut chosen: Chosen, attempts: &mut Vec<AttemptRecord>) -> Next {
@@ -264,7 +265,7 @@
                 AttemptResult::Succeeded
             };
             return (
-                Next::End(Ok(passed_on(answer))),
+                Next::End(Ok(self.passed_on(answer))),
                 result,
                 "answered",
                 connection,
@@ -276,7 +277,7 @@
         let end = if promises {
             Err(Refusal::OutcomeUnknown)
         } else {
-            Ok(passed_on(answer))
+            Ok(self.passed_on(answer))
         };
         let next = if self.rule.idempotent {
             Next::Another {
@@ -295,6 +296,15 @@
         (next, result, "server_error", connection)
     }
 
+    fn passed_on(&self, mut answer: BackendAnswer) -> Answer {
+        http_headers::strip_answer(&mut answer.headers, self.request.is_head());
+        Answer {
+            status: answer.status,
+            headers: answer.headers,
+            body: answer.body,
+        }
+    }
+
     fn unknown(&self, failure: SendFailure, overdue: bool) -> Sending {
         let name = match failure {
             SendFailure::ConnectionLost => "connection_lost",
@@ -349,12 +359,3 @@
         may_have_run: false,
     }
 }
-
-fn passed_on(mut answer: BackendAnswer) -> Answer {
-    strip(&mut answer.headers);
-    Answer {
-        status: answer.status,
-        headers: answer.headers,
-        body: answer.body,
-    }
-}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -6,30 +6,16 @@
 use anyhow::{Context as _, Result};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
-use hyper::{Request, Uri};
+use hyper::{Method, Request, Uri};
 
+use radishpaddle_kernel::http_headers;
 use radishpaddle_model::Fingerprint;
 
 use crate::settings::HeaderNames;
 
-/// Headers that belong to one connection (RFC 9110, section 7.6.1), and the key.
-const NOT_FORWARDED: [HeaderName; 11] = [
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::CONTENT_LENGTH,
-    header::EXPECT,
-    header::AUTHORIZATION,
-    HeaderName::from_static("keep-alive"),
-];
-
 /// Header names of the settings, ready to use.
 #[derive(Debug, Clone)]
 pub struct Headers {
@@ -81,7 +67,7 @@
         organisation: Option<&str>,
         headers: &Headers,
     ) -> Self {
-        strip(&mut parts.headers);
+        http_headers::strip(&mut parts.headers);
         parts.headers.remove(&headers.organisation);
         parts.headers.remove(&headers.expected_server);
         let organisation = organisation.map(HeaderValue::from_str);
@@ -117,6 +103,12 @@
         self.parts.headers.get(&names.request_id)?.to_str().ok()
     }
 
+    /// Whether the answer has no body whatever its length says.
+    #[must_use]
+    pub fn is_head(&self) -> bool {
+        self.parts.method == Method::HEAD
+    }
+
     /// The request for one attempt at a backend server with the time that is left for it.
     #[must_use]
     pub fn attempt(&self, server: &str, left: Duration, names: &Headers) -> Request<Full<Bytes>> {
@@ -130,17 +122,3 @@
         Request::from_parts(parts, Full::new(self.body.clone()))
     }
 }
-
-/// Removes the headers that belong to one connection.
-pub fn strip(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in NOT_FORWARDED.iter().chain(&named) {
-        headers.remove(name);
-    }
-}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -302,18 +302,22 @@
 
     /// Looks whether a server that broke off a request still accepts connections. If it refuses, the request counts as
     /// in flight at a crash. A server in a spell of resets accepts connections, and behind a cut path there is no answer.
-    pub(crate) async fn check_crash(&self, server: &str, address: SocketAddr, crash: SeenCrash) {
+    pub(crate) async fn check_crash(
+        &self,
+        (server, address): (Arc<str>, SocketAddr),
+        request_id: Option<String>,
+        crash: SeenCrash,
+    ) {
         tokio::time::sleep(CRASH_CHECK_PAUSE).await;
         match BackendConnection::open(address, CONNECT_TIMEOUT).await {
-            Ok(connection) => return lock(&self.pools).keep(server, connection),
+            Ok(connection) => return lock(&self.pools).keep(&server, connection),
             Err(ConnectFailure::Unreachable) => return,
             Err(ConnectFailure::Refused) => (),
         }
-        self.log.record(
-            "request_crash",
-            Keep::Each,
-            || json!({"server": server, "fingerprint": crash.request.to_string()}),
-        );
+        self.log.record("request_crash", Keep::Each, || {
+            json!({"request_id": request_id, "backend_server": server,
+                   "fingerprint": crash.request.to_string()})
+        });
         lock(&self.crash_watch).record_crash(crash);
         self.urgent.notify_one();
     }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod boot_clock;
 pub mod context;
 pub mod decision_log;
+pub mod http_headers;
 pub mod http_server;
 pub mod incarnation;
 pub mod journal;
