--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod exchange;
 pub mod metrics;
 pub mod peer_handler;
+mod polls;
 pub mod settings;
 pub mod state;
 pub mod suspects;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,7 +15,8 @@
 use crate::crash_watch::SeenCrash;
 use crate::forward::ForwardRequest;
 use crate::gateway::Shared;
-use crate::pool::{AttemptResult, Chosen};
+use crate::pool::Chosen;
+use crate::server::AttemptResult;
 
 /// Servers that one request may be offered to when each of them refuses it unrun or cannot be reached.
 const MAX_OFFERS: usize = 5;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,9 +22,10 @@
 use crate::forward::Headers;
 use crate::metrics::GatewayMetrics;
 use crate::poll_task;
-use crate::pool::{AttemptResult, Chosen, Pools};
+use crate::pool::{Chosen, Pools};
 use crate::quota::{FleetDemand, Limit, OverLimit, Quota};
 use crate::selection::ServiceTime;
+use crate::server::AttemptResult;
 use crate::settings::GatewaySettings;
 
 /// Period in which idle connections are looked through.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod request;
 pub mod retry_budget;
 pub mod selection;
+pub mod server;
 pub mod settings;
 
 pub use gateway::Gateway;
