consensus, replication: Admit up to 128 members, one after the other without waiting

Cause: a group had room for 7 voters and 7 learners. Of the 19 coordinators of the large deployment five never joined. Besides, the leader refused every join request that met an uncommitted change, and the replica repeated it only after a second: the last of 14 joined 8 s after the start.

Ruled out: heartbeats that are refused or lost (a trial logged 6,387 of them, each stored by the coordinator that got it), addresses shared by servers, and the selection of the gateways, which all knew the same 395 servers.

Change: MAX_MEMBERS is 128; the leader queues join requests and proposes the next one as soon as the change before it is committed. A test with 19 replicas fails first: 14 members after 20 s.

--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -9,8 +9,11 @@
 /// Maximum number of voters (design 1.4).
 pub const MAX_VOTERS: usize = 7;
 
-/// Maximum number of learners: one replacement for each voter.
-pub const MAX_LEARNERS: usize = 7;
+/// Maximum number of members. The leader sends the log to each of them.
+pub const MAX_MEMBERS: usize = 128;
+
+/// Maximum number of learners: the members that are not voters.
+pub const MAX_LEARNERS: usize = MAX_MEMBERS - MAX_VOTERS;
 
 /// Maximum length of a member's address, in bytes.
 pub const MAX_ADDRESS_BYTES: usize = 256;
@@ -173,7 +176,7 @@
     pub(crate) fn read(reader: &mut Reader<'_>) -> Result<Self, DecodeError> {
         let group = reader.u64()?;
         let count = reader.length()?;
-        if count > MAX_VOTERS + MAX_LEARNERS {
+        if count > MAX_MEMBERS {
             return Err(DecodeError);
         }
         let mut members = BTreeMap::new();
--- a/crates/replication/src/replica_task.rs
+++ b/crates/replication/src/replica_task.rs
@@ -1,12 +1,13 @@
 //! Task that drives the consensus replica and applies committed commands to the state.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::Sender as JobSender;
 use std::time::Duration;
 
 use anyhow::Result;
+use radishpaddle_consensus::membership::MAX_MEMBERS;
 use radishpaddle_consensus::{
     Entry, MemberRole, MembershipChange, Message, Notice, Payload, ProposeError, ReadId,
     ReadResult, Ready, Replica, ReplicaId, Role,
@@ -61,6 +62,8 @@
     pub(crate) contacts: watch::Receiver<Vec<SocketAddr>>,
     pub(crate) voter_target: VoterTarget,
     pub(crate) ticks_until_join: u32,
+    /// Join requests that the leader has not proposed yet, because only one change may be uncommitted.
+    pub(crate) joining: VecDeque<JoinRequest>,
     /// Whether another member reported that this replica was removed from the group.
     pub(crate) removed: bool,
     pub(crate) view: &'a watch::Sender<ReplicaView<S>>,
@@ -91,13 +94,20 @@
                 self.publish();
                 return TaskEnd::StorageFailed;
             }
-            while let Some(ready) = self.replica.take_ready() {
-                self.process_ready(ready);
+            self.process_all_ready();
+            if self.propose_next_learner() {
+                self.process_all_ready();
             }
             self.publish();
         }
     }
 
+    fn process_all_ready(&mut self) {
+        while let Some(ready) = self.replica.take_ready() {
+            self.process_ready(ready);
+        }
+    }
+
     fn tick(&mut self) {
         self.replica.tick();
         if let VoterTarget::LiveMembers { minimum } = self.voter_target {
@@ -188,11 +198,35 @@
             return;
         }
         self.handle_replaced_member(id, &address);
-        let change = MembershipChange::AddLearner { id, address };
-        match self.replica.propose_membership(&change) {
+        let is_queued = self.joining.iter().any(|queued| queued.id == request.id);
+        if !is_queued && self.joining.len() < MAX_MEMBERS {
+            let request = JoinRequest { address, ..request };
+            self.joining.push_back(request);
+        }
+    }
+
+    /// Proposes the replica that has waited longest as a learner. Returns whether a change was proposed.
+    fn propose_next_learner(&mut self) -> bool {
+        if self.replica.role() != Role::Leader {
+            self.joining.clear();
+            return false;
+        }
+        let Some(request) = self.joining.front() else {
+            return false;
+        };
+        let id = ReplicaId(request.id);
+        let address = Arc::clone(&request.address);
+        match self
+            .replica
+            .propose_membership(&MembershipChange::AddLearner { id, address })
+        {
             Ok(_) => log::info!("replica: adding replica {id} as a learner"),
-            Err(error) => log::debug!("replica: cannot add replica {id} yet: {error}"),
+            Err(ProposeError::ChangePending) => return false,
+            // The replica sends another request while it does not belong to the group.
+            Err(error) => log::debug!("replica: cannot add replica {id}: {error}"),
         }
+        self.joining.pop_front();
+        true
     }
 
     /// Forwards a join request to the leader, since the contacts of a new replica may not include it.
--- a/crates/replication/src/supervisor.rs
+++ b/crates/replication/src/supervisor.rs
@@ -1,6 +1,6 @@
 //! Opens the data directory, runs the replica, and reopens the data directory after a failed write.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -136,6 +136,7 @@
                 contacts: contacts.clone(),
                 voter_target: settings.voter_target,
                 ticks_until_join: 0,
+                joining: VecDeque::new(),
                 removed: false,
                 view: &view,
                 storage_works: true,
--- a/crates/replication/tests/rejoin.rs
+++ b/crates/replication/tests/rejoin.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use anyhow::Result;
+use radishpaddle_consensus::membership::MAX_VOTERS;
 use radishpaddle_consensus::{MemberRole, Message, Role};
 use radishpaddle_replication::{
     JoinRequest, ReplicaHandle, ReplicaSettings, ReplicatedState, VoterTarget,
@@ -20,6 +21,11 @@
 const REPLICAS: usize = 4;
 const REPAIR_AFTER: Duration = Duration::from_millis(1_500);
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(20);
+/// Replicas of a group in which most are learners.
+const MANY_REPLICAS: usize = 19;
+/// Time after the start by which every replica of a new group must be a member; the platform sends traffic 8 s
+/// after the start.
+const MANY_JOINED_WITHIN: Duration = Duration::from_secs(8);
 
 /// State machine that adds up the committed numbers.
 #[derive(Debug, Clone, Default)]
@@ -114,10 +120,16 @@
 }
 
 async fn start_group(directory: &Path) -> Vec<Node> {
-    let addresses: Vec<SocketAddr> = (0..REPLICAS).map(|_| free_address()).collect();
+    start_replicas(directory, REPLICAS).await
+}
+
+/// Starts replicas that all have the first three as contacts.
+async fn start_replicas(directory: &Path, count: usize) -> Vec<Node> {
+    let addresses: Vec<SocketAddr> = (0..count).map(|_| free_address()).collect();
+    let contacts = &addresses[..3];
     let mut nodes = Vec::new();
     for address in &addresses {
-        nodes.push(start(directory, *address, &addresses).await);
+        nodes.push(start(directory, *address, contacts).await);
     }
     nodes
 }
@@ -205,3 +217,25 @@
 
     wait_until("the replica joins", || voters(&new_node) == REPLICAS + 1).await;
 }
+
+/// Guards against replicas of a large group that never join, or join only when callers are already waiting: each
+/// keeps its part of the soft state to itself until it is a member.
+#[tokio::test]
+async fn every_replica_of_a_large_group_joins_before_the_traffic() {
+    let directory = tempfile::tempdir().unwrap();
+    let started_at = tokio::time::Instant::now();
+
+    let nodes = start_replicas(directory.path(), MANY_REPLICAS).await;
+
+    wait_until("every replica knows all members", || {
+        let members = |node: &Node| node.replica.view().membership.members.len();
+        nodes.iter().all(|node| members(node) == MANY_REPLICAS)
+    })
+    .await;
+    let elapsed = started_at.elapsed();
+    assert!(elapsed < MANY_JOINED_WITHIN, "joined after {elapsed:?}");
+    wait_until("learners are promoted up to the limit of voters", || {
+        nodes.iter().all(|node| voters(node) == MAX_VOTERS)
+    })
+    .await;
+}
