gateway, coordinator: Keep rate limits while reports are late or miss gateways

Each half of the coordinators totals only its own gateways and hands out the burst and the rate a second time. Beside it: (1) a gateway without a request of an organisation kept a full bucket, whatever the others admitted, so at 170 gateways each admitted its first requests; (2) reports up to 700 ms old counted as current; (3) the bucket was refilled only at a request, after the requests of others had been taken out, so the refill covered them; (4) in deficit nine tenths of the rate went on.

--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -267,7 +267,7 @@
     #[must_use]
     pub fn render_metrics(&self) -> String {
         let view = self.shared.replica.view();
-        let (_, gateways) = self.soft_state().demand(boot_clock::now());
+        let gateways = self.soft_state().demand(boot_clock::now()).gateways;
         let servers = self.soft_state().table.entries().count();
         self.shared.metrics.render(&view, servers, gateways)
     }
--- a/crates/coordinator/src/polls.rs
+++ b/crates/coordinator/src/polls.rs
@@ -119,7 +119,7 @@
         } else {
             poll.evidence_position
         };
-        let (demand, gateways) = soft_state.demand(boot_clock::now());
+        let demand = soft_state.demand(boot_clock::now());
         let complete_after =
             Duration::from_millis(self.shared.settings.heartbeat_ms) * COMPLETE_AFTER_HEARTBEATS;
         let log_changed = full || poll.applied_index != view.applied_index;
@@ -140,9 +140,10 @@
             suspects_position: soft_state.suspects.position(),
             config_version: view.state.version(),
             config: newer_config.map(|stored| Arc::new(stored.config.clone())),
-            demand,
+            demand: demand.organisations,
+            demand_complete: demand.is_complete,
             own_demand: soft_state.gateway_demand(instance),
-            gateways,
+            gateways: demand.gateways,
             coordinators: self.coordinators_with_zones(&soft_state),
         }
     }
--- a/crates/coordinator/src/soft_state.rs
+++ b/crates/coordinator/src/soft_state.rs
@@ -23,6 +23,14 @@
 /// admitting requests by then.
 const GATEWAY_ADMISSION_MAX_AGE: Duration = Duration::from_millis(4_500);
 
+/// Maximum age of a gateway's last report for its demand to count as known. Reports are forwarded at intervals of
+/// `GATEWAY_FORWARD_INTERVAL` with the next poll, and take one exchange between coordinators.
+const KNOWN_DEMAND_MAX_AGE: Duration = Duration::from_millis(600);
+
+/// Share of the gateways whose demand may be unknown without counting as a partition of the fleet. A few gateways that
+/// end or freeze admit nothing more.
+const MAX_UNKNOWN_SHARE: f64 = 0.2;
+
 /// Age of its last report at which a gateway is removed.
 const GATEWAY_EXPIRY: Duration = Duration::from_secs(30);
 
@@ -44,6 +52,19 @@
     reported_at: Duration,
 }
 
+/// Demand of all gateways.
+#[derive(Debug, Clone)]
+pub struct DemandTotals {
+    /// Demand of each organisation. Rates include only the gateways that share the limits; admitted requests
+    /// include former gateways as well.
+    pub organisations: Vec<OrganisationDemand>,
+    /// Number of gateways that share the limits.
+    pub gateways: u32,
+    /// Whether the newest reports of nearly all of these gateways are recent. In a partition of the coordinators they
+    /// are not, and the gateways on the other side may admit requests that are missing in the totals.
+    pub is_complete: bool,
+}
+
 /// Evidence with its position and the key of the gateway that observed it.
 #[derive(Debug, Clone, Copy)]
 struct EvidenceEntry {
@@ -253,18 +274,18 @@
         addresses
     }
 
-    /// Returns the demand of each organisation at all gateways, and the number of gateways that share the
-    /// limits. Rates include only those gateways; admitted requests include former gateways as well.
+    /// Returns the demand of each organisation at all gateways together.
     #[must_use]
-    pub fn demand(&self, now: Duration) -> (Vec<OrganisationDemand>, u32) {
+    pub fn demand(&self, now: Duration) -> DemandTotals {
         let mut rates: HashMap<&Arc<str>, f32> = HashMap::new();
-        let admitting = self
-            .gateways
-            .values()
-            .filter(|gateway| now.saturating_sub(gateway.reported_at) <= GATEWAY_ADMISSION_MAX_AGE);
-        let mut gateways = 0;
-        for gateway in admitting {
+        let (mut gateways, mut unknown) = (0, 0);
+        for gateway in self.gateways.values() {
+            let age = now.saturating_sub(gateway.reported_at);
+            if age > GATEWAY_ADMISSION_MAX_AGE {
+                continue;
+            }
             gateways += 1;
+            unknown += u32::from(age > KNOWN_DEMAND_MAX_AGE);
             for demand in &gateway.presence.demand {
                 *rates.entry(&demand.organisation).or_default() += demand.rate_per_s;
             }
@@ -277,7 +298,11 @@
                 rate_per_s: rates.get(organisation).copied().unwrap_or_default(),
                 admitted: *admitted,
             });
-        (total.collect(), gateways)
+        DemandTotals {
+            organisations: total.collect(),
+            gateways,
+            is_complete: f64::from(unknown) <= f64::from(gateways) * MAX_UNKNOWN_SHARE,
+        }
     }
 
     /// Returns the demand in the newest report of a gateway, which is the part of [`Self::demand`] that this
--- a/crates/coordinator/tests/board.rs
+++ b/crates/coordinator/tests/board.rs
@@ -1,4 +1,4 @@
-//! Address lookups of callers: which gateways a coordinator returns.
+//! What a coordinator tells about the gateways: their addresses, and whether their demand is known.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -25,20 +25,23 @@
     };
     let mut soft_state = SoftState::new(sender, Duration::from_millis(1_500));
     for number in 1..=GATEWAYS {
-        let presence = GatewayPresence {
-            instance: format!("gateway-{number}").into(),
-            incarnation: 1,
-            sequence: 1,
-            address: SocketAddr::from(([127, 0, 2, number], 8_000)),
-            zone: "zone-a".into(),
-            ready: true,
-            demand: Vec::new(),
-        };
-        soft_state.report_gateway(presence, &[], NOW);
+        soft_state.report_gateway(presence(number), &[], NOW);
     }
     soft_state
 }
 
+fn presence(number: u8) -> GatewayPresence {
+    GatewayPresence {
+        instance: format!("gateway-{number}").into(),
+        incarnation: 1,
+        sequence: 1,
+        address: SocketAddr::from(([127, 0, 2, number], 8_000)),
+        zone: "zone-a".into(),
+        ready: true,
+        demand: Vec::new(),
+    }
+}
+
 /// Guards against gateways that never receive callers. A lookup returns fewer addresses than there are gateways, so
 /// coordinators that all return the same ones would leave the other gateways unused.
 #[test]
@@ -59,3 +62,25 @@
     }
     assert_eq!(all_addresses.len(), usize::from(GATEWAYS));
 }
+
+/// Guards against limits that both sides of a partition grant in full, because neither knows of the requests of the
+/// other. Single gateways that ended must not be taken for a partition.
+#[test]
+fn totals_without_the_reports_of_many_gateways_are_incomplete() {
+    let mut soft_state = soft_state(1);
+    let later = NOW + Duration::from_secs(1);
+    let mut report_until = |last: u8| {
+        for number in 1..=last {
+            let mut presence = presence(number);
+            presence.sequence = 2;
+            soft_state.report_gateway(presence, &[], later);
+        }
+        soft_state.demand(later).is_complete
+    };
+
+    let half_known = report_until(GATEWAYS / 2);
+    let nearly_all_known = report_until(GATEWAYS - 3);
+
+    assert!(!half_known);
+    assert!(nearly_all_known);
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -196,6 +196,7 @@
         let demand = FleetDemand {
             coordinator: reply.coordinator,
             total: reply.demand,
+            is_complete: reply.demand_complete,
             own: reply.own_demand,
             gateways: reply.gateways,
         };
@@ -231,6 +232,11 @@
         );
         let version = i64::try_from(config.version).unwrap_or(i64::MAX);
         self.metrics.config_version.set(version);
+        let limited = config.organisations.iter();
+        let limited = limited.filter(|organisation| organisation.rate_per_s > 0.0);
+        let limits =
+            limited.map(|organisation| (Arc::clone(&organisation.name), Limit::from(organisation)));
+        lock(&self.quota).set_limits(limits, boot_clock::now());
         *table = Arc::new(RoutingTable::new(config.clone()));
     }
 
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -4,14 +4,15 @@
 //! each of its own requests at once, and tokens for the requests of other gateways when the coordinators
 //! report them, a fraction of a second late. While the estimate exceeds what other gateways may have taken
 //! since their newest reports, requests are admitted from it. Otherwise they are admitted from a local
-//! token bucket, which refills at this gateway's share of the rate. The share follows the gateway's share
-//! of the demand, so that the shares of all gateways add up to the rate.
+//! token bucket, which refills at this gateway's share of the rate, unless the fleet-wide bucket is far in
+//! deficit. The share follows the gateway's share of the demand, so that the shares of all gateways add up
+//! to the rate.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use radishpaddle_model::OrganisationDemand;
+use radishpaddle_model::{Organisation, OrganisationDemand};
 use serde::Serialize;
 
 use crate::settings::QuotaSettings;
@@ -26,12 +27,13 @@
 /// Share of the burst that is reserved for requests that other gateways admit before their reports arrive.
 const RESERVED_BURST_SHARE: f64 = 0.05;
 
-/// Deficit of the fleet-wide bucket, as a share of the tolerance, above which the local rates are reduced until
-/// the deficit is recovered.
+/// Deficit of the fleet-wide bucket, as a share of the tolerance, above which nothing is admitted until the bucket has
+/// recovered. Gateways cause a deficit while they do not know of each other's requests.
 const ALLOWED_DEFICIT_SHARE: f64 = 0.25;
 
-/// Factor on the local rate while the deficit is above the allowed one.
-const DEFICIT_RATE_FACTOR: f64 = 0.9;
+/// Maximum deficit in seconds of the sustained rate that is carried over. It ends the refusals soon when a coordinator
+/// counted requests twice.
+const MAX_DEFICIT_S: f64 = 2.0;
 
 /// Share of the tolerance that the local buckets of all gateways may add to the limit in total.
 const LOCAL_TOLERANCE_SHARE: f64 = 0.2;
@@ -45,7 +47,7 @@
 const SHARE_SMOOTHING_FACTOR: f64 = 0.05;
 
 /// Age of the newest report above which the estimate of the fleet-wide bucket is not used.
-const MAX_REPORT_AGE: Duration = Duration::from_millis(700);
+const MAX_REPORT_AGE: Duration = Duration::from_millis(300);
 
 /// Fleet-wide rate limit of one organisation.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -56,6 +58,15 @@
     pub burst: f64,
 }
 
+impl From<&Organisation> for Limit {
+    fn from(organisation: &Organisation) -> Self {
+        Self {
+            rate_per_s: organisation.rate_per_s,
+            burst: organisation.burst,
+        }
+    }
+}
+
 /// State of the quota when a request exceeded the limit of its organisation, for the decision log.
 #[derive(Debug, Clone, Copy, PartialEq)]
 #[derive(Serialize)]
@@ -79,6 +90,8 @@
     pub coordinator: u64,
     /// Demand and admitted requests of all gateways in total, by organisation.
     pub total: Vec<OrganisationDemand>,
+    /// Whether the totals cover nearly all gateways up to the present.
+    pub is_complete: bool,
     /// Demand and admitted requests of this gateway that are part of the totals.
     pub own: Vec<OrganisationDemand>,
     /// Number of gateways that share the limits.
@@ -88,12 +101,15 @@
 /// Quota state of one organisation at this gateway.
 #[derive(Debug)]
 struct OrganisationQuota {
+    limit: Limit,
     /// Estimated tokens in the fleet-wide bucket; negative when too many requests were admitted.
     fleet_tokens: f64,
     /// Tokens in the local bucket of this gateway.
     local_tokens: f64,
-    /// Local time of the last refill of both buckets.
-    refilled_at: Duration,
+    /// Local time of the last refill of the fleet-wide bucket.
+    fleet_refilled_at: Duration,
+    /// Local time of the last refill of the local bucket.
+    local_refilled_at: Duration,
     /// Moving average of the requests at this gateway.
     demand_per_s: f64,
     demand_updated_at: Duration,
@@ -118,11 +134,12 @@
     organisations: HashMap<Arc<str>, OrganisationQuota>,
     coordinator: u64,
     gateways: u32,
+    /// Local time of the newest report, unless it was incomplete.
     reported_at: Option<Duration>,
 }
 
 impl Quota {
-    /// Creates a quota without organisations. The fleet-wide bucket of an organisation is full at its first request.
+    /// Creates a quota without organisations.
     #[must_use]
     pub fn new(settings: QuotaSettings) -> Self {
         Self {
@@ -134,12 +151,24 @@
         }
     }
 
+    /// Sets the limits of the organisations, so that requests at other gateways count before the first request here. The
+    /// fleet-wide bucket of a new organisation is full.
+    pub fn set_limits(
+        &mut self,
+        limits: impl IntoIterator<Item = (Arc<str>, Limit)>,
+        now: Duration,
+    ) {
+        for (organisation, limit) in limits {
+            self.organisation(&organisation, limit, now);
+        }
+    }
+
     /// Applies the demand of all gateways that a coordinator reported.
     pub fn set_demand(&mut self, demand: &FleetDemand, now: Duration) {
         let same_counters = self.coordinator == demand.coordinator;
         self.coordinator = demand.coordinator;
         self.gateways = demand.gateways.max(1);
-        self.reported_at = Some(now);
+        self.reported_at = demand.is_complete.then_some(now);
         for total in &demand.total {
             let own = demand.own.iter();
             let own = own
@@ -147,10 +176,11 @@
                 .map(|own| (own.admitted, own.rate_per_s))
                 .next();
             let (own_admitted, own_per_s) = own.unwrap_or_default();
-            let quota = self
-                .organisations
-                .entry(Arc::clone(&total.organisation))
-                .or_insert_with(|| OrganisationQuota::new(now));
+            // An organisation without a limit has no bucket.
+            let Some(quota) = self.organisations.get_mut(&total.organisation) else {
+                continue;
+            };
+            quota.refill_fleet(now);
             let others = total.admitted.saturating_sub(own_admitted);
             if let Some(known) = quota.others_admitted.filter(|_| same_counters) {
                 quota.fleet_tokens -= as_f64(others.saturating_sub(known));
@@ -195,53 +225,68 @@
         let window_s = Duration::from_millis(self.settings.window_ms).as_secs_f64();
         let tolerance = (limit.rate_per_s * window_s + limit.burst) * self.settings.overage
             + self.settings.slack;
-        let is_current = self
-            .reported_at
-            .is_some_and(|at| now.saturating_sub(at) <= MAX_REPORT_AGE);
-        let quota = self
-            .organisations
-            .entry(Arc::clone(organisation))
-            .or_insert_with(|| OrganisationQuota::new(now));
+        let report_age = self.reported_at.map(|at| now.saturating_sub(at));
+        let is_current = report_age.is_some_and(|age| age <= MAX_REPORT_AGE);
+        let quota = self.organisation(organisation, limit, now);
         quota.decay_demand(now);
         quota.demand_per_s += 1.0 / DEMAND_DECAY_TIME_S;
         let local_capacity = 1.0 + tolerance * LOCAL_TOLERANCE_SHARE / gateways;
-        let local_rate = quota.refill(
-            limit,
-            local_capacity,
-            tolerance * ALLOWED_DEFICIT_SHARE,
-            gateways,
-            now,
-        );
+        quota.refill_fleet(now);
+        let local_rate = quota.refill_local(local_capacity, gateways, now);
         let unreported = (quota.total_per_s - quota.own_per_s).max(0.0) * REPORT_DELAY_S;
         let reserved = unreported + 1.0 + RESERVED_BURST_SHARE * limit.burst;
         if is_current && quota.fleet_tokens >= reserved {
             quota.consume_fleet_token();
             return Ok(());
         }
-        if quota.local_tokens >= 1.0 {
+        let excess_deficit = -quota.fleet_tokens - tolerance * ALLOWED_DEFICIT_SHARE;
+        let has_recovered = !is_current || excess_deficit <= 0.0;
+        if has_recovered && quota.local_tokens >= 1.0 {
             quota.local_tokens -= 1.0;
             quota.consume_fleet_token();
             return Ok(());
         }
-        let missing = (1.0 - quota.local_tokens) / local_rate.max(0.01);
-        let report_age = self.reported_at.map(|at| now.saturating_sub(at));
+        let local_wait_s = (1.0 - quota.local_tokens) / local_rate.max(0.01);
+        let recovery_s = excess_deficit / limit.rate_per_s;
+        let wait_s = if has_recovered {
+            local_wait_s
+        } else {
+            local_wait_s.max(recovery_s)
+        };
         Err(OverLimit {
-            wait_ms: milliseconds(Duration::from_secs_f64(missing.min(60.0))),
+            wait_ms: milliseconds(Duration::from_secs_f64(wait_s.clamp(0.0, 60.0))),
             level: quota.fleet_tokens,
             part: quota.local_tokens,
             fleet_per_s: quota.total_per_s,
             report_age_ms: report_age.map(milliseconds),
         })
     }
+
+    /// State of an organisation with its newest limit.
+    fn organisation(
+        &mut self,
+        name: &Arc<str>,
+        limit: Limit,
+        now: Duration,
+    ) -> &mut OrganisationQuota {
+        let quota = self
+            .organisations
+            .entry(Arc::clone(name))
+            .or_insert_with(|| OrganisationQuota::new(limit, now));
+        quota.limit = limit;
+        quota
+    }
 }
 
 impl OrganisationQuota {
-    /// Creates the state of an organisation without requests. The first refill caps the fleet-wide tokens at the burst.
-    const fn new(now: Duration) -> Self {
+    /// Creates the state of an organisation without requests.
+    const fn new(limit: Limit, now: Duration) -> Self {
         Self {
-            fleet_tokens: f64::MAX,
+            limit,
+            fleet_tokens: limit.burst.max(1.0),
             local_tokens: 1.0,
-            refilled_at: now,
+            fleet_refilled_at: now,
+            local_refilled_at: now,
             demand_per_s: 0.0,
             demand_updated_at: now,
             admitted: 0,
@@ -271,28 +316,24 @@
         *share += (newest - *share) * SHARE_SMOOTHING_FACTOR;
     }
 
-    /// Adds the tokens for the time since the last call to both buckets. Returns the refill rate of the local bucket
-    /// in tokens per second.
-    fn refill(
-        &mut self,
-        limit: Limit,
-        local_capacity: f64,
-        allowed_deficit: f64,
-        gateways: f64,
-        now: Duration,
-    ) -> f64 {
-        let elapsed = now.saturating_sub(self.refilled_at).as_secs_f64();
-        self.refilled_at = now;
-        let capacity = limit.burst.max(1.0);
-        self.fleet_tokens =
-            (self.fleet_tokens.min(capacity) + elapsed * limit.rate_per_s).min(capacity);
-        let share = self.share.unwrap_or(1.0 / gateways);
-        let mut local_rate = limit.rate_per_s * share;
-        if self.fleet_tokens < -allowed_deficit {
-            local_rate *= DEFICIT_RATE_FACTOR;
-        }
-        self.local_tokens = (self.local_tokens + elapsed * local_rate).min(local_capacity);
-        local_rate
+    /// Adds the tokens for the time since the last call to the fleet-wide bucket.
+    fn refill_fleet(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.fleet_refilled_at).as_secs_f64();
+        self.fleet_refilled_at = now;
+        let capacity = self.limit.burst.max(1.0);
+        let max_deficit = self.limit.rate_per_s * MAX_DEFICIT_S;
+        let tokens = self.fleet_tokens.clamp(-max_deficit, capacity);
+        self.fleet_tokens = (tokens + elapsed * self.limit.rate_per_s).min(capacity);
+    }
+
+    /// Adds the tokens for the time since the last call to the local bucket. Returns its refill rate in tokens per
+    /// second.
+    fn refill_local(&mut self, capacity: f64, gateways: f64, now: Duration) -> f64 {
+        let elapsed = now.saturating_sub(self.local_refilled_at).as_secs_f64();
+        self.local_refilled_at = now;
+        let rate = self.limit.rate_per_s * self.share.unwrap_or(1.0 / gateways);
+        self.local_tokens = (self.local_tokens + elapsed * rate).min(capacity);
+        rate
     }
 
     /// Counts an admitted request in the fleet-wide bucket.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -228,10 +228,7 @@
     if organisation.rate_per_s <= 0.0 {
         return Ok(());
     }
-    let limit = Limit {
-        rate_per_s: organisation.rate_per_s,
-        burst: organisation.burst,
-    };
+    let limit = Limit::from(organisation);
     shared.admit(&organisation.name, limit).map_err(|over| {
         trace.over_limit = Some(over);
         let wait = Duration::from_millis(over.wait_ms);
--- a/crates/gateway/tests/quota.rs
+++ b/crates/gateway/tests/quota.rs
@@ -1,5 +1,6 @@
 //! Rate limits of organisations over many gateways that learn of each other's requests with a delay.
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,12 +24,38 @@
     admitted: Vec<Duration>,
 }
 
-/// Simulates requests at random gateways; `demand_per_s` maps the time in seconds to the request rate.
+/// Number of gateways, and the steps in which no reports arrive.
+struct Fleet {
+    gateways: usize,
+    silent_steps: Range<u64>,
+}
+
+/// Simulates requests of one organisation; `demand_per_s` maps the time in seconds to the request rate.
 fn run(limit: Limit, seconds: u64, seed: u64, demand_per_s: impl Fn(f64) -> f64) -> Run {
+    let fleet = Fleet {
+        gateways: GATEWAYS,
+        silent_steps: 0..0,
+    };
+    run_fleet(&fleet, limit, seconds, seed, demand_per_s)
+}
+
+/// Like [`run`] for a fleet of any size. Half of the requests go to the first quarter of the gateways.
+fn run_fleet(
+    fleet: &Fleet,
+    limit: Limit,
+    seconds: u64,
+    seed: u64,
+    demand_per_s: impl Fn(f64) -> f64,
+) -> Run {
     let mut rng = SmallRng::seed_from_u64(seed);
     let organisation: Arc<str> = "estate".into();
-    let mut gateways: Vec<Quota> = (0..GATEWAYS).map(|_| Quota::new(settings())).collect();
-    let mut reports: Vec<Vec<(u64, OrganisationDemand)>> = vec![Vec::new(); GATEWAYS];
+    let mut gateways: Vec<Quota> = (0..fleet.gateways)
+        .map(|_| Quota::new(settings()))
+        .collect();
+    for gateway in &mut gateways {
+        gateway.set_limits([(Arc::clone(&organisation), limit)], Duration::ZERO);
+    }
+    let mut reports: Vec<Vec<(u64, OrganisationDemand)>> = vec![Vec::new(); fleet.gateways];
     let mut run = Run {
         refused: 0,
         admitted: Vec::new(),
@@ -36,13 +63,22 @@
     for step in 0..seconds * 1000 {
         let now = STEP * u32::try_from(step).unwrap();
         if rng.random_bool(demand_per_s(now.as_secs_f64()) / 1000.0) {
-            let gateway = rng.random_range(0..GATEWAYS);
+            let busy = rng.random_bool(0.5);
+            let candidates = if busy {
+                fleet.gateways.div_ceil(4)
+            } else {
+                fleet.gateways
+            };
+            let gateway = rng.random_range(0..candidates);
             match gateways[gateway].admit(&organisation, limit, now) {
                 Ok(()) => run.admitted.push(now),
                 Err(_) => run.refused += 1,
             }
         }
-        for index in 0..GATEWAYS {
+        if fleet.silent_steps.contains(&step) {
+            continue;
+        }
+        for index in 0..fleet.gateways {
             if (step + index as u64 * 7).is_multiple_of(REPORT_STEPS) {
                 report(&mut gateways, &mut reports, index, step, now);
             }
@@ -81,8 +117,9 @@
     let demand = FleetDemand {
         coordinator: 1,
         total: total.into_iter().collect(),
+        is_complete: true,
         own,
-        gateways: u32::try_from(GATEWAYS).unwrap(),
+        gateways: u32::try_from(gateways.len()).unwrap(),
     };
     gateways[index].set_demand(&demand, now);
 }
@@ -160,6 +197,33 @@
     }
 }
 
+/// Guards against more requests in a window than the bound allows when the demand rises while the reports are late,
+/// or when every one of many gateways admits the first request that it gets.
+#[test]
+fn no_window_exceeds_the_bound_while_reports_are_late() {
+    for (gateways, rate) in [(12, 56.0), (12, 20.0), (170, 12.0), (170, 40.0)] {
+        let limit = Limit {
+            rate_per_s: rate,
+            burst: rate,
+        };
+        for seed in 0..12 {
+            let silent_from = 4_500 + seed / 6 * 500;
+            let fleet = Fleet {
+                gateways,
+                silent_steps: silent_from..silent_from + 300 * (seed % 6),
+            };
+            let demand_per_s = |at: f64| rate * if at < 5.0 { 0.6 } else { 4.7 };
+            let run = run_fleet(&fleet, limit, 14, seed, demand_per_s);
+            let busiest = busiest_window(&run.admitted);
+            assert!(
+                f64::from(count(busiest)) <= bound(limit),
+                "{gateways} gateways, rate {rate}, seed {seed}: {busiest} in a window, bound {}",
+                bound(limit)
+            );
+        }
+    }
+}
+
 /// Guards against an organisation that exceeds its limit and is admitted at much less than the limit.
 #[test]
 fn an_organisation_over_its_limit_gets_its_limit() {
--- a/crates/wire/src/poll.rs
+++ b/crates/wire/src/poll.rs
@@ -81,6 +81,8 @@
     pub config: Option<Arc<RoutingConfig>>,
     /// Demand of each organisation at all gateways together.
     pub demand: Vec<OrganisationDemand>,
+    /// Whether `demand` covers nearly all gateways up to the present.
+    pub demand_complete: bool,
     /// Part of `demand` that the polling gateway reported.
     pub own_demand: Vec<OrganisationDemand>,
     /// Number of gateways that reported recently, including the polling one.
