gateway: Send a second copy of an idempotent request when its answer is late

Cause: the gateway waited for a hanging server until the timeout of the route.

Change: the gateway uses the hedge decision of crates/policy, which the entry proxy uses too. Its delay goes by half of the objective, between two and four medians, while the tail of a class is not known, since a gateway gets few requests of each. A copy that is overtaken counts against its server and is cancelled; the budget of retries pays for the second one.

--- a/crates/bench/src/dispatch.rs
+++ b/crates/bench/src/dispatch.rs
@@ -217,7 +217,7 @@
 
     fn schedule_hedge(&mut self, instance: usize, service: usize, kind: Kind, attempt: u64) {
         let class = &self.entries[instance].services[service].hedges[kind.index()];
-        if let Some(delay) = class.delay() {
+        if let Some(delay) = class.delay(None) {
             self.add_after(delay, Event::HedgeDelay { attempt });
         }
     }
@@ -238,6 +238,7 @@
         let Some(choice) = self.pick(id) else { return };
         let query = HedgeQuery {
             idempotent: kind.is_idempotent(),
+            objective: None,
             elapsed,
             remaining,
             attempts,
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -227,6 +227,7 @@
         }
         let query = HedgeQuery {
             idempotent: self.idempotent,
+            objective: None,
             elapsed: started_at.elapsed(),
             remaining: self.remaining(),
             attempts: attempts + 1,
--- a/crates/entry/src/service_task.rs
+++ b/crates/entry/src/service_task.rs
@@ -340,7 +340,7 @@
         Some(Grant {
             connection,
             server,
-            hedge_after: class.filter(|_| hedged).and_then(HedgeClass::delay),
+            hedge_after: class.filter(|_| hedged).and_then(|class| class.delay(None)),
             reporter: CompletionReporter {
                 server: pick.server,
                 dispatch,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,8 +7,9 @@
 use hyper::StatusCode;
 use radishpaddle_kernel::{boot_clock, http_headers};
 use radishpaddle_model::{Fingerprint, RoutingRule};
+use radishpaddle_policy::hedge::HedgeQuery;
 use serde::Serialize;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::backend_connection::{BackendAnswer, BackendConnection, SendFailure, SendOutcome};
 use crate::crash_watch::ObservedCrash;
@@ -43,6 +44,30 @@
     pub elapsed_ms: u64,
 }
 
+impl AttemptRecord {
+    /// Creates the entry of an attempt that has not ended.
+    fn new(chosen: &ChosenServer) -> Self {
+        Self {
+            server: Arc::clone(&chosen.id),
+            failure_probability: (chosen.failure_probability * 1000.0).round() / 1000.0,
+            in_flight: chosen.in_flight,
+            reused: chosen.connection.is_some(),
+            result: "",
+            elapsed_ms: 0,
+        }
+    }
+
+    fn end(&mut self, result: &'static str, started_at: Instant) {
+        self.result = result;
+        self.elapsed_ms = u64::try_from(started_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+    }
+
+    /// Ends the entry of a copy that another copy of the request has overtaken.
+    fn cancel(&mut self, started_at: Instant) {
+        self.end("overtaken", started_at);
+    }
+}
+
 /// Outcome of a request after all attempts.
 pub struct RequestOutcome {
     /// Answer of a backend server, or the refusal for the caller.
@@ -104,6 +129,48 @@
     },
 }
 
+impl NextStep {
+    /// Next step after two copies of a request of which neither was answered with success; `newer` ended later.
+    fn followed_by(self, newer: Self) -> Self {
+        match (self, newer) {
+            (Self::Finish(before), Self::Finish(newer)) => {
+                Self::Finish(preferred_outcome(before, newer))
+            }
+            (Self::Finish(before), Self::TryAnother { fallback, .. }) => {
+                Self::Finish(preferred_outcome(before, fallback))
+            }
+            (Self::TryAnother { fallback, .. }, Self::Finish(newer)) => {
+                Self::Finish(preferred_outcome(fallback, newer))
+            }
+            (
+                Self::TryAnother {
+                    fallback: before,
+                    arrived,
+                    may_have_run,
+                },
+                Self::TryAnother {
+                    fallback: newer,
+                    arrived: newer_arrived,
+                    may_have_run: newer_may_have_run,
+                },
+            ) => Self::TryAnother {
+                fallback: preferred_outcome(before, newer),
+                arrived: arrived || newer_arrived,
+                may_have_run: may_have_run || newer_may_have_run,
+            },
+        }
+    }
+}
+
+/// Next step after one copy of the request, and its log entry.
+type CopyEnd = (NextStep, AttemptRecord);
+
+/// What came first: the end of the first copy, or the time for a second one.
+enum FirstCopy {
+    Ended(CopyEnd),
+    Hedged(ChosenServer),
+}
+
 impl RequestPlan {
     /// Makes attempts until there is a final outcome or no further attempt is permitted.
     pub async fn run(&self) -> RequestOutcome {
@@ -134,7 +201,11 @@
                 break fallback;
             }
             excluded.push(Arc::clone(&chosen.id));
-            match self.attempt(chosen, &mut attempts).await {
+            let (next, hedges) = self
+                .attempt_with_hedge(chosen, runs, &mut excluded, &mut attempts)
+                .await;
+            runs += hedges;
+            match next {
                 NextStep::Finish(answer) => break preferred_outcome(fallback, answer),
                 NextStep::TryAnother {
                     fallback: newer,
@@ -175,18 +246,107 @@
         tokio::spawn(async move { shared.check_crash(server, request_id, crash).await });
     }
 
-    async fn attempt(
+    /// Makes an attempt. If the answer of an idempotent request is late and a hedge is permitted, sends a second copy to
+    /// another server; the first answer wins and the other copy is cancelled. Returns the next step and the number of
+    /// second copies.
+    async fn attempt_with_hedge(
         &self,
-        mut chosen: ChosenServer,
+        chosen: ChosenServer,
+        runs: u32,
+        excluded: &mut Vec<Arc<str>>,
         attempts: &mut Vec<AttemptRecord>,
-    ) -> NextStep {
+    ) -> (NextStep, u32) {
+        let started_at = Instant::now();
+        let mut first_record = AttemptRecord::new(&chosen);
+        let first = self.attempt(chosen);
+        tokio::pin!(first);
+        let second = match self.wait_for_hedge(first.as_mut(), runs, excluded).await {
+            FirstCopy::Ended((next, record)) => {
+                attempts.push(record);
+                return (next, 0);
+            }
+            FirstCopy::Hedged(second) => second,
+        };
+        excluded.push(Arc::clone(&second.id));
+        let mut second_record = AttemptRecord::new(&second);
+        let hedged_at = Instant::now();
+        let second = self.attempt(second);
+        tokio::pin!(second);
+        let (next, record, other_record) = tokio::select! {
+            (next, record) = &mut first => {
+                if matches!(next, NextStep::Finish(Ok(_))) {
+                    second_record.cancel(hedged_at);
+                    (next, record, second_record)
+                } else {
+                    let (newer, other) = second.await;
+                    (next.followed_by(newer), record, other)
+                }
+            }
+            (next, record) = &mut second => {
+                if matches!(next, NextStep::Finish(Ok(_))) {
+                    self.record_overtaken(&first_record, started_at);
+                    first_record.cancel(started_at);
+                    (next, record, first_record)
+                } else {
+                    let (newer, other) = first.await;
+                    (next.followed_by(newer), record, other)
+                }
+            }
+        };
+        attempts.extend([record, other_record]);
+        (next, 1)
+    }
+
+    /// Waits until the first copy ends or a second copy may be sent.
+    async fn wait_for_hedge(
+        &self,
+        mut first: impl Future<Output = CopyEnd> + Unpin,
+        runs: u32,
+        excluded: &[Arc<str>],
+    ) -> FirstCopy {
+        let delay = self.shared.hedge_delay(&self.rule);
+        let may_hedge = self.rule.idempotent && runs + 1 < self.rule.max_attempts;
+        let Some(delay) = delay.filter(|_| may_hedge) else {
+            return FirstCopy::Ended(first.await);
+        };
         let started_at = Instant::now();
+        tokio::select! {
+            ended = &mut first => return FirstCopy::Ended(ended),
+            () = sleep(delay) => (),
+        }
+        let query = HedgeQuery {
+            idempotent: self.rule.idempotent,
+            objective: Some(Duration::from_millis(self.rule.objective_ms)),
+            elapsed: started_at.elapsed(),
+            remaining: self.remaining(),
+            attempts: runs + 1,
+            in_flight: 0,
+            slots: 0,
+            other_server_free: false,
+        };
+        let shared = &self.shared;
+        match shared.choose_hedge(&self.rule, &self.service, query, excluded) {
+            Some(second) => FirstCopy::Hedged(second),
+            None => FirstCopy::Ended(first.await),
+        }
+    }
+
+    /// Counts a copy that was overtaken by a later one against its server, unless it was counted as overdue before.
+    fn record_overtaken(&self, record: &AttemptRecord, started_at: Instant) {
+        if started_at.elapsed() < self.shared.slow_after(&self.rule.name) {
+            self.shared
+                .record_result(&record.server, AttemptResult::Failed);
+        }
+    }
+
+    async fn attempt(&self, mut chosen: ChosenServer) -> CopyEnd {
+        let started_at = Instant::now();
+        let mut record = AttemptRecord::new(&chosen);
         let in_flight = InFlightGuard {
             shared: &self.shared,
             id: &chosen.id,
             finished: false,
         };
-        let reused = chosen.connection.is_some();
         let connection = match chosen.connection.take() {
             Some(connection) => Ok(connection),
             None => BackendConnection::open(chosen.address, self.remaining()).await,
@@ -202,16 +362,8 @@
             _ => (),
         }
         self.shared.metrics.record_attempt(&self.service, label);
-        let elapsed = started_at.elapsed();
-        attempts.push(AttemptRecord {
-            server: Arc::clone(&chosen.id),
-            failure_probability: (chosen.failure_probability * 1000.0).round() / 1000.0,
-            in_flight: chosen.in_flight,
-            reused,
-            result: label,
-            elapsed_ms: u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
-        });
-        next
+        record.end(label, started_at);
+        (next, record)
     }
 
     /// Sends the request over an open connection and classifies the result.
@@ -237,7 +389,7 @@
             Some(SendOutcome::Answered(answer, connection)) => {
                 if !overdue && answer.status.is_success() {
                     self.shared
-                        .record_service_time(&self.rule.name, started_at.elapsed());
+                        .record_service_time(&self.rule, started_at.elapsed());
                 }
                 self.classify_answer(answer, connection, overdue)
             }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,8 +8,10 @@
 use anyhow::Result;
 use radishpaddle_kernel::{DecisionLog, LogSampling, boot_clock};
 use radishpaddle_model::{
-    Fingerprint, OrganisationDemand, RequestCrash, RoutingConfig, RoutingTable, SuspectRequest,
+    Fingerprint, OrganisationDemand, RequestCrash, RoutingConfig, RoutingRule, RoutingTable,
+    SuspectRequest,
 };
+use radishpaddle_policy::hedge::{HedgeClass, HedgeQuery};
 use radishpaddle_wire::PollReply;
 use serde_json::json;
 use tokio::sync::{Notify, watch};
@@ -51,6 +53,8 @@
     quota: Mutex<Quota>,
     crash_watch: Mutex<CrashWatch>,
     service_times: Mutex<HashMap<Arc<str>, ServiceTime>>,
+    /// Service times of the idempotent requests of each route.
+    hedge_classes: Mutex<HashMap<Arc<str>, HedgeClass>>,
     /// Local time up to which the newest freshness proof of a coordinator covers the configuration.
     proved_at: Mutex<Option<Duration>>,
     /// Whether there has been a freshness proof since the start of the process.
@@ -83,6 +87,7 @@
             quota: Mutex::new(Quota::new(settings.quota.clone())),
             crash_watch: Mutex::default(),
             service_times: Mutex::default(),
+            hedge_classes: Mutex::default(),
             proved_at: Mutex::default(),
             has_proof: watch::Sender::new(false),
             settings,
@@ -369,9 +374,57 @@
     }
 
     /// Adds the service time of an answer to the average of its route.
-    pub(crate) fn record_service_time(&self, route: &Arc<str>, elapsed: Duration) {
+    pub(crate) fn record_service_time(&self, rule: &RoutingRule, elapsed: Duration) {
+        if rule.idempotent {
+            self.with_hedge_class(rule, |class| class.record(boot_clock::now(), elapsed));
+        }
         let mut times = lock(&self.service_times);
-        times.entry(Arc::clone(route)).or_default().record(elapsed);
+        let times = times.entry(Arc::clone(&rule.name));
+        times.or_default().record(elapsed);
+    }
+
+    /// Time after which an unanswered request of a route may be hedged, if its requests are hedged at all.
+    pub(crate) fn hedge_delay(&self, rule: &RoutingRule) -> Option<Duration> {
+        let objective = Duration::from_millis(rule.objective_ms);
+        self.with_hedge_class(rule, |class| class.delay(Some(objective)))
+    }
+
+    /// Calls a function with the service times of a route.
+    fn with_hedge_class<T>(
+        &self,
+        rule: &RoutingRule,
+        function: impl FnOnce(&mut HedgeClass) -> T,
+    ) -> T {
+        let mut classes = lock(&self.hedge_classes);
+        let class = classes.entry(Arc::clone(&rule.name));
+        function(class.or_insert_with(|| HedgeClass::new(boot_clock::now())))
+    }
+
+    /// Selects the server for the second copy of a request in flight and takes it out of the retry budget. Returns `None`
+    /// when the request is not hedged.
+    pub(crate) fn choose_hedge(
+        &self,
+        rule: &RoutingRule,
+        service: &Arc<str>,
+        query: HedgeQuery,
+        exclude: &[Arc<str>],
+    ) -> Option<ChosenServer> {
+        let now = boot_clock::now();
+        let mut pools = lock(&self.pools);
+        let load = pools.load(service, exclude, now);
+        let query = HedgeQuery {
+            in_flight: load.in_flight,
+            slots: load.slots,
+            other_server_free: load.has_free_server,
+            ..query
+        };
+        self.with_hedge_class(rule, |class| class.check(&query))
+            .ok()?;
+        if !pools.try_retry(service, now) {
+            return None;
+        }
+        let is_last = query.attempts + 1 >= rule.max_attempts;
+        pools.choose(service, rule.idempotent, is_last, exclude, now)
     }
 
     /// Times of a graceful stop that begins now: until when connections are accepted, and the deadline.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -53,6 +53,17 @@
     pub in_flight: u32,
 }
 
+/// Load of the backend servers of a service that accept requests.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct ServiceLoad {
+    /// Requests in flight from all gateways.
+    pub(crate) in_flight: u32,
+    /// Requests that the servers run concurrently.
+    pub(crate) slots: u32,
+    /// Whether a server that is not excluded has a free slot.
+    pub(crate) has_free_server: bool,
+}
+
 /// Backend servers, retry budgets and outcomes of all services.
 #[derive(Debug)]
 pub struct Pools {
@@ -291,6 +302,21 @@
         })
     }
 
+    /// Returns the load of a service; servers in `exclude` count as having no free slot.
+    pub(crate) fn load(&self, service: &str, exclude: &[Arc<str>], now: Duration) -> ServiceLoad {
+        let mut load = ServiceLoad::default();
+        let servers = self.services.get(service).into_iter().flatten();
+        let accepting =
+            servers.filter(|(name, server)| server.accepts_requests(self.retired.get(*name)));
+        for (name, server) in accepting {
+            let in_flight = server.fleet_in_flight(now);
+            load.in_flight += in_flight;
+            load.slots += server.presence.slots;
+            load.has_free_server |= in_flight < server.presence.slots && !exclude.contains(name);
+        }
+        load
+    }
+
     fn failure_impact(
         &mut self,
         service: &str,
--- a/crates/policy/src/hedge.rs
+++ b/crates/policy/src/hedge.rs
@@ -26,9 +26,16 @@
 /// Ratio of the median to its long-term value above which a tail is attributed to load.
 pub const MAX_MEDIAN_SHIFT: f64 = 1.5;
 
-/// Number of service times that a class needs before its requests are hedged.
+/// Number of service times that a class needs before its tail is known.
 pub const MIN_SAMPLES: u64 = 50;
 
+/// Number of service times that a class needs before its median is known.
+pub const MIN_MEDIAN_SAMPLES: u64 = 5;
+
+/// Fraction of the objective after which a request is hedged while the tail of its class is not
+/// known. The rest is left to the second copy.
+pub const OBJECTIVE_FRACTION: f64 = 0.5;
+
 /// Length of one window of service times. Quantiles cover one to two windows.
 pub const SERVICE_TIME_WINDOW: Duration = Duration::from_secs(10);
 
@@ -69,6 +76,8 @@
 pub struct HedgeQuery {
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// Target latency of the request, if it has one.
+    pub objective: Option<Duration>,
     /// Time since the first attempt was dispatched.
     pub elapsed: Duration,
     /// Time left until the deadline of the request.
@@ -112,13 +121,19 @@
         self.current.add(service_time);
     }
 
-    /// Returns the time after the dispatch at which a request may be hedged; `None` while there are
-    /// too few samples.
+    /// Returns the time after the dispatch at which a request may be hedged. Instances that each get
+    /// few requests of a class seldom know its tail, and then go by the objective; without an
+    /// objective the result is `None` while there are too few samples.
     #[must_use]
-    pub fn delay(&self) -> Option<Duration> {
-        let median = self.quantile_us(0.5)?;
-        let tail = self.quantile_us(HEDGE_QUANTILE)?;
-        let delay = tail.clamp(median * MIN_MEDIAN_MULTIPLE, median * MAX_MEDIAN_MULTIPLE);
+    pub fn delay(&self, objective: Option<Duration>) -> Option<Duration> {
+        let wanted = match (self.quantile_us(HEDGE_QUANTILE), objective) {
+            (Some(tail), _) => tail,
+            (None, Some(objective)) => objective.as_secs_f64() * 1e6 * OBJECTIVE_FRACTION,
+            (None, None) => return None,
+        };
+        let bounded =
+            |median: f64| wanted.clamp(median * MIN_MEDIAN_MULTIPLE, median * MAX_MEDIAN_MULTIPLE);
+        let delay = self.early_median_us().map_or(wanted, bounded);
         Some(Duration::from_secs_f64(delay / 1e6))
     }
 
@@ -148,12 +163,26 @@
         query: &HedgeQuery,
         budget: &mut RepeatBudget,
     ) -> Result<(), NoHedge> {
+        self.check(query)?;
+        budget
+            .try_hedge(now, query.attempts)
+            .map_err(NoHedge::Budget)
+    }
+
+    /// Checks every rule but the budget.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first rule that forbids the hedge.
+    pub fn check(&self, query: &HedgeQuery) -> Result<(), NoHedge> {
         if !query.idempotent {
             return Err(NoHedge::NotIdempotent);
         }
-        let (Some(delay), Some(median)) = (self.delay(), self.median()) else {
-            return Err(NoHedge::TooFewSamples);
-        };
+        let delay = self.delay(query.objective).ok_or(NoHedge::TooFewSamples)?;
+        let median_us = self.early_median_us();
+        let median = median_us.map_or(Duration::ZERO, |median| {
+            Duration::from_secs_f64(median / 1e6)
+        });
         if query.elapsed < delay {
             return Err(NoHedge::TooEarly);
         }
@@ -166,9 +195,7 @@
         if !query.other_server_free {
             return Err(NoHedge::NoOtherServer);
         }
-        budget
-            .try_hedge(now, query.attempts)
-            .map_err(NoHedge::Budget)
+        Ok(())
     }
 
     fn is_tail_caused_by_load(&self, query: &HedgeQuery, median: Duration) -> bool {
@@ -181,8 +208,17 @@
     }
 
     fn quantile_us(&self, quantile: f64) -> Option<f64> {
+        self.quantile_of_at_least(MIN_SAMPLES, quantile)
+    }
+
+    /// Median that a few samples are enough for.
+    fn early_median_us(&self) -> Option<f64> {
+        self.quantile_of_at_least(MIN_MEDIAN_SAMPLES, 0.5)
+    }
+
+    fn quantile_of_at_least(&self, samples: u64, quantile: f64) -> Option<f64> {
         let total = self.current.count + self.previous.count;
-        if total < MIN_SAMPLES {
+        if total < samples {
             return None;
         }
         Some(quantile_of(&self.previous, &self.current, quantile))
--- a/crates/policy/tests/hedge.rs
+++ b/crates/policy/tests/hedge.rs
@@ -33,6 +33,7 @@
 fn query() -> HedgeQuery {
     HedgeQuery {
         idempotent: true,
+        objective: None,
         elapsed: ms(1000),
         remaining: ms(1000),
         attempts: 1,
@@ -48,7 +49,7 @@
 fn delay_is_bounded_by_the_median() {
     let slow_sixth = class((0..600).map(|index| if index % 6 == 0 { 500 } else { 50 }));
 
-    let delay = slow_sixth.delay().unwrap();
+    let delay = slow_sixth.delay(None).unwrap();
 
     assert!(delay > ms(90) && delay < ms(230), "{delay:?}");
 }
@@ -192,9 +193,22 @@
     fn few_requests_outlast_the_delay(times in proptest::collection::vec(30..90_u64, 100..400)) {
         let class = class(times.iter().copied());
 
-        let delay = class.delay().unwrap();
+        let delay = class.delay(None).unwrap();
 
         let later = times.iter().filter(|&&time| ms(time) > delay.mul_f64(1.1)).count();
         prop_assert!(later * 20 <= times.len(), "{} of {}", later, times.len());
     }
 }
+
+/// Guards against requests that are never hedged at instances that each get few of them: the tail of the class is not
+/// known there, so the objective decides, within the same bounds.
+#[test]
+fn few_service_times_are_enough_with_an_objective() {
+    let class = class([100; 8]);
+    let delay = |objective_ms| class.delay(Some(ms(objective_ms))).unwrap();
+
+    assert_eq!(class.delay(None), None);
+    assert!(delay(600) > ms(290) && delay(600) < ms(310));
+    assert!(delay(100) > ms(180) && delay(5_000) < ms(440));
+    assert_eq!(HedgeClass::new(ms(0)).delay(Some(ms(600))), Some(ms(300)));
+}
