gateway: Bound the memory of all answers that are being received

Cause: each answer could take 64 MiB. Servers in trouble may send bodies without end; a test with 24 such answers at a time (bodies with and without length, heads) took 534 MB, more than the 389 MB of the smallest instance, which ends the process and with it all its requests.

Ruled out: heads without end, which the HTTP library bounds.

Change: all bodies together may take 128 MiB; the answer that exceeds it is invalid and its connection is closed. The test fails first and passes now.

--- a/crates/gateway/src/backend_connection.rs
+++ b/crates/gateway/src/backend_connection.rs
@@ -3,6 +3,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -32,6 +33,13 @@
 /// Maximum size of the body of an answer, which is held in memory.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 
+/// Maximum size of all bodies together that are being received. Servers in trouble may send bodies without end, several
+/// at a time, and the memory of an instance is a few hundred megabytes.
+const MAX_RECEIVING_BYTES: usize = 128 << 20;
+
+/// Size of all bodies that are being received by this process.
+static RECEIVING_BYTES: AtomicUsize = AtomicUsize::new(0);
+
 /// Outcome of sending one request.
 #[derive(Debug)]
 pub enum SendOutcome {
@@ -208,6 +216,24 @@
     }
 }
 
+/// Part of [`RECEIVING_BYTES`] that belongs to one body.
+#[derive(Default)]
+struct ReceivingBytes(usize);
+
+impl ReceivingBytes {
+    /// Adds received bytes. Returns whether all bodies are still within their maximum.
+    fn add(&mut self, count: usize) -> bool {
+        self.0 += count;
+        RECEIVING_BYTES.fetch_add(count, Ordering::Relaxed) + count <= MAX_RECEIVING_BYTES
+    }
+}
+
+impl Drop for ReceivingBytes {
+    fn drop(&mut self) {
+        RECEIVING_BYTES.fetch_sub(self.0, Ordering::Relaxed);
+    }
+}
+
 /// Reads the whole answer; `None` when it is truncated, too large, or encoded by an intermediary.
 async fn read_answer(response: Response<Incoming>) -> Option<BackendAnswer> {
     let (parts, mut body) = response.into_parts();
@@ -216,11 +242,12 @@
         return None;
     }
     let mut collected = BytesMut::new();
+    let mut receiving = ReceivingBytes::default();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.ok()?.into_data() else {
             continue;
         };
-        if collected.len() + data.len() > MAX_ANSWER_BYTES {
+        if !receiving.add(data.len()) || receiving.0 > MAX_ANSWER_BYTES {
             return None;
         }
         collected.extend_from_slice(&data);
--- a/crates/gateway/tests/backend_connection.rs
+++ b/crates/gateway/tests/backend_connection.rs
@@ -1,13 +1,26 @@
 //! Connections to backend servers.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::io::{Read as _, Write as _};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
-use radishpaddle_gateway::backend_connection::{BackendConnection, ConnectFailure};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::header::HeaderName;
+use radishpaddle_gateway::backend_connection::{
+    BackendConnection, ConnectFailure, SendFailure, SendOutcome,
+};
 use socket2::{Domain, Socket, Type};
 
 const MAX_WAIT: Duration = Duration::from_secs(1);
 
+/// Answers without end that are received at the same time.
+const ENDLESS_ANSWERS: usize = 24;
+
+/// Memory of the smallest instance that the users run a gateway on.
+const INSTANCE_MEMORY_KB: u64 = 389 << 10;
+
 /// Listening socket with a full accept queue, so that the kernel ignores further connection attempts.
 fn full_listener() -> (Socket, Vec<TcpStream>) {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
@@ -41,3 +54,65 @@
     assert_eq!(silent, Some(ConnectFailure::Unreachable));
     assert_eq!(refused, Some(ConnectFailure::Refused));
 }
+
+/// Backend server that sends the beginning of an answer and then the same bytes until the caller closes.
+fn endless_server(begin: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            std::thread::spawn(move || {
+                let _ = stream.read(&mut [0; 1024]);
+                let mut sent = stream.write_all(begin.as_bytes());
+                while sent.is_ok() {
+                    sent = stream.write_all(&[b'x'; 64 << 10]);
+                }
+            });
+        }
+    });
+    address
+}
+
+async fn send(address: SocketAddr) -> SendOutcome {
+    let connection = BackendConnection::open(address, MAX_WAIT).await.unwrap();
+    let request = Request::builder().uri("/").header("host", "b.example");
+    let request = request.body(Full::new(Bytes::new())).unwrap();
+    connection
+        .send(request, &HeaderName::from_static("x-request-id"))
+        .await
+}
+
+/// Highest memory use of this process since its start.
+fn peak_memory_kb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let text = line.unwrap().trim().trim_end_matches(" kB");
+    text.parse().unwrap()
+}
+
+/// Guards against a gateway that runs out of memory because servers in trouble send bodies or heads without end.
+#[tokio::test]
+async fn answers_without_end_do_not_exhaust_the_memory() {
+    let beginnings = [
+        "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-Endless: ",
+    ];
+    let addresses = beginnings.map(endless_server);
+
+    let mut sending = tokio::task::JoinSet::new();
+    for number in 0..ENDLESS_ANSWERS {
+        sending.spawn(send(addresses[number % addresses.len()]));
+    }
+    let outcomes = sending.join_all().await;
+
+    assert!(
+        outcomes
+            .iter()
+            .all(|outcome| matches!(outcome, SendOutcome::Unknown(SendFailure::AnswerInvalid))),
+        "{outcomes:?}"
+    );
+    let peak_kb = peak_memory_kb();
+    assert!(peak_kb < INSTANCE_MEMORY_KB, "{peak_kb} kB");
+}
