gateway: Report an unchanged load twice a second

Every poll repeated the requests in flight of every server, changed or not, and each item goes through the coordinators to all gateways.

Change: an unchanged number of requests in flight is reported again after 500 ms; it is forgotten after 1.5 s. A test fails first (40 reports in a second of 40 polls).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -303,7 +303,7 @@
     }
 
     pub(crate) fn take_evidence(&self) -> Vec<radishpaddle_model::ServerEvidence> {
-        lock(&self.pools).take_evidence()
+        lock(&self.pools).take_evidence(boot_clock::now())
     }
 
     /// Whether a request is quarantined because it crashes backend servers. The fingerprint is computed only when there
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -235,10 +235,12 @@
         }
     }
 
-    /// Returns the evidence of this gateway since the last call and resets it.
-    pub fn take_evidence(&mut self) -> Vec<ServerEvidence> {
+    /// Returns the evidence of this gateway that is due for a coordinator.
+    pub fn take_evidence(&mut self, now: Duration) -> Vec<ServerEvidence> {
         let servers = self.services.values_mut().flat_map(HashMap::values_mut);
-        servers.filter_map(Server::take_evidence).collect()
+        servers
+            .filter_map(|server| server.take_evidence(now))
+            .collect()
     }
 
     /// Counts a request in the retry budget of its service.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -15,6 +15,10 @@
 /// Age after which the number of requests in flight that another gateway reported is ignored.
 const MAX_LOAD_REPORT_AGE: Duration = Duration::from_millis(1_500);
 
+/// Period in which an unchanged number of requests in flight is reported again. A few reports fit in
+/// [`MAX_LOAD_REPORT_AGE`].
+const LOAD_REPORT_PERIOD: Duration = Duration::from_millis(500);
+
 /// Back-off after the first failure to connect to a backend server; doubled with each further failure. The
 /// failure is not reported to other gateways, because the network path from this gateway may be the cause.
 const CONNECT_BACKOFF: Duration = Duration::from_millis(700);
@@ -61,6 +65,8 @@
     /// Results since the last report to a coordinator.
     pub(crate) unreported: ServerEvidence,
     pub(crate) reported_in_flight: u16,
+    /// Local time of the last report to a coordinator.
+    pub(crate) load_reported_at: Duration,
     /// Local time of the last known request of any gateway.
     pub(crate) last_used_at: Duration,
 }
@@ -91,6 +97,7 @@
                 in_flight: 0,
             },
             reported_in_flight: 0,
+            load_reported_at: Duration::ZERO,
             last_used_at: Duration::ZERO,
         }
     }
@@ -173,17 +180,18 @@
         }
     }
 
-    /// Returns the evidence since the last call and resets it; `None` when nothing changed and no request is in
-    /// flight.
-    pub(crate) fn take_evidence(&mut self) -> Option<ServerEvidence> {
+    /// Returns the evidence since the last report and resets it; `None` when there is nothing new. Requests in flight are
+    /// reported again after [`LOAD_REPORT_PERIOD`].
+    pub(crate) fn take_evidence(&mut self, now: Duration) -> Option<ServerEvidence> {
         let in_flight = u16::try_from(self.in_flight).unwrap_or(u16::MAX);
         let changed = self.unreported.succeeded > 0
             || self.unreported.failed > 0
             || in_flight != self.reported_in_flight
-            || in_flight > 0;
+            || in_flight > 0 && now.saturating_sub(self.load_reported_at) >= LOAD_REPORT_PERIOD;
         if !changed {
             return None;
         }
+        self.load_reported_at = now;
         let evidence = ServerEvidence {
             in_flight,
             ..self.unreported
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -127,3 +127,18 @@
     assert_eq!(after_older, [false, false, false, true]);
     assert_eq!(after_newer, [true, false, true, true]);
 }
+
+/// Guards against evidence that grows with the number of polls: an unchanged number of requests in flight is reported
+/// again only before the other gateways would forget it.
+#[test]
+fn unchanged_requests_in_flight_are_reported_seldom() {
+    let mut pools = pools();
+    pools.choose("lookups", false, true, &[], NOW).unwrap();
+    let times = (0..40).map(|step| NOW + Duration::from_millis(25) * step);
+
+    let reports: Vec<usize> = times.map(|now| pools.take_evidence(now).len()).collect();
+
+    assert_eq!(reports[0], 1, "a new request is reported at once");
+    let total: usize = reports.iter().sum();
+    assert!((2..=3).contains(&total), "{total} reports in one second");
+}
