replication: Give each replica of the tests an address that no connection takes

The test drew a port on 127.0.0.1, closed it and bound it later; in between an outgoing connection of the test with 19 replicas, which runs beside it, took the port.

Ruled out: the code under test, which had not started.

Change: every replica listens on a loopback IP of its own; connections come from 127.0.0.1. No check changed.

--- a/crates/replication/tests/rejoin.rs
+++ b/crates/replication/tests/rejoin.rs
@@ -1,9 +1,10 @@
 //! Joining a running group: a voter that was removed while unreachable, and a new replica whose contacts
 //! change.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use anyhow::Result;
@@ -99,7 +100,7 @@
 
 async fn start(directory: &Path, address: SocketAddr, contacts: &[SocketAddr]) -> Node {
     let settings = ReplicaSettings {
-        data_directory: directory.join(address.port().to_string()),
+        data_directory: directory.join(address.to_string()),
         own_address: address,
         contacts: contacts.to_vec(),
         voter_target: VoterTarget::LiveMembers { minimum: 3 },
@@ -134,8 +135,12 @@
     nodes
 }
 
+/// Returns a free address with an IP of its own. Outgoing connections come from 127.0.0.1, so none of them takes the port
+/// before it is bound.
 fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
+    let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
+    let listener = std::net::TcpListener::bind((Ipv4Addr::new(127, 88, 1, host), 0)).unwrap();
     listener.local_addr().unwrap()
 }
 
