gateway: Log the steps of a planned stop and the requests that it cuts

Now each request line of a stopping gateway carries the time from the stop signal to the arrival, the steps of the stop are logged with the requests in progress, and what is still in progress 50 ms before the stop deadline ends with a 504 and a line with the outcome "stopped" instead of a closed connection.

--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -219,6 +219,7 @@
         }
         "outcome_unknown" => "may have run: the connection was lost after the request was sent",
         "timed_out" => "may have run: no answer within the timeout of the route or the caller",
+        "stopped" => "may have run: the gateway ended before a backend server answered",
         "key_unknown" => "not run: the key is missing, unknown or withdrawn",
         "no_route" => "not run: no route of the configuration matches the path",
         "crashes_backend_servers" => {
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -13,7 +13,10 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use radishpaddle_kernel::LogSampling;
+use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep_until, timeout_at};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -30,6 +33,9 @@
 /// observes the timeout never sends a request on a connection that is being closed.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
 
+/// Time between the end of the last request and the stop deadline, in which its answer is sent.
+const ANSWER_SEND_TIME: Duration = Duration::from_millis(50);
+
 /// Handle to the listener for callers.
 pub struct CallerListener {
     shared: Arc<Shared>,
@@ -68,18 +74,35 @@
     }
 
     /// Stops gracefully. Connections are accepted for a while, because callers cache the addresses of gateways;
-    /// then open connections close after the request in progress, until the stop deadline at most.
+    /// then open connections close after the request in progress. Requests that are in progress shortly before the stop
+    /// deadline get an error response.
     pub async fn stop(self) {
-        let (accepting_until, deadline) = self.shared.stop_times();
-        tokio::time::sleep_until(accepting_until).await;
+        let begun_at = self.shared.stop.begin();
+        let settings = &self.shared.settings;
+        let accept_for = Duration::from_millis(settings.stop_accepting_after_ms);
+        let deadline = begun_at + Duration::from_millis(settings.stop_deadline_ms);
+        sleep_until(begun_at + accept_for).await;
         self.stop_accepting.cancel();
         self.close_connections.cancel();
         self.connections.close();
-        let ended = tokio::time::timeout_at(deadline, self.connections.wait()).await;
+        self.record_progress("stop_accepting");
+        let ended = timeout_at(deadline - ANSWER_SEND_TIME, self.connections.wait()).await;
         if ended.is_err() {
-            log::warn!("gateway: stop deadline passed with requests in progress");
+            self.record_progress("stop_deadline");
+            self.shared.stop.end_requests();
+            // Callers that do not read their answers must not delay the end of the process.
+            let _ = timeout_at(deadline, self.connections.wait()).await;
         }
     }
+
+    /// Records a step of the stop with the requests in progress.
+    fn record_progress(&self, event: &'static str) {
+        let metrics = &self.shared.metrics;
+        self.shared.log.record(event, LogSampling::Each, || {
+            json!({"requests_in_progress": metrics.in_progress.get(),
+                   "connections": metrics.connections.get()})
+        });
+    }
 }
 
 async fn accept(
@@ -134,7 +157,7 @@
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let answer = request::handle(&shared, request).await;
     let mut response = answer.into_response();
-    if shared.stopping.is_cancelled() {
+    if shared.stop.has_begun() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,7 +16,6 @@
 use serde_json::json;
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, timeout_at};
-use tokio_util::sync::CancellationToken;
 
 use crate::backend_connection::{BackendConnection, CONNECT_TIMEOUT, ConnectFailure};
 use crate::callers::CallerListener;
@@ -29,6 +28,7 @@
 use crate::selection::ServiceTime;
 use crate::server::AttemptResult;
 use crate::settings::GatewaySettings;
+use crate::stop::PlannedStop;
 
 /// Period between two checks for idle connections that have expired.
 const IDLE_CHECK_PERIOD: Duration = Duration::from_millis(500);
@@ -43,8 +43,8 @@
     pub metrics: GatewayMetrics,
     /// Log of requests and state changes.
     pub log: DecisionLog,
-    /// Cancelled when a graceful stop begins.
-    pub stopping: CancellationToken,
+    /// Planned stop of the process.
+    pub stop: PlannedStop,
     /// Wakes the poll task to report a failure or crash without waiting for the next poll.
     pub report_now: Notify,
     contacts: Mutex<Vec<SocketAddr>>,
@@ -79,7 +79,7 @@
             headers: Headers::parse(&settings.headers)?,
             metrics: GatewayMetrics::register()?,
             log,
-            stopping: CancellationToken::new(),
+            stop: PlannedStop::default(),
             report_now: Notify::new(),
             contacts: Mutex::new(settings.contacts.clone()),
             table: Mutex::default(),
@@ -118,7 +118,6 @@
     /// Stops the gateway gracefully: it reports itself as not ready at once and serves requests in progress until the
     /// stop deadline of the settings.
     pub async fn stop(self) {
-        self.shared.stopping.cancel();
         self.callers.stop().await;
     }
 }
@@ -140,7 +139,7 @@
     /// that it is current.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.stopping.is_cancelled() && self.table().config().version > 0 && self.is_fresh()
+        !self.stop.has_begun() && self.table().config().version > 0 && self.is_fresh()
     }
 
     /// Returns the routing table of the configuration in use.
@@ -427,12 +426,4 @@
         let is_last = true;
         pools.choose(service, rule.idempotent, is_last, exclude, now)
     }
-
-    /// Times of a graceful stop that begins now: until when connections are accepted, and the deadline.
-    pub(crate) fn stop_times(&self) -> (Instant, Instant) {
-        let now = Instant::now();
-        let accepting = Duration::from_millis(self.settings.stop_accepting_after_ms);
-        let deadline = Duration::from_millis(self.settings.stop_deadline_ms);
-        (now + accepting, now + deadline)
-    }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -63,7 +63,11 @@
     let (parts, body) = request.into_parts();
     shared.wait_for_proof(started_at + STARTUP_WAIT).await;
     let table = shared.table();
-    let result = serve(shared, &table, parts, body, started_at, &mut trace).await;
+    let result = tokio::select! {
+        biased;
+        result = serve(shared, &table, parts, body, started_at, &mut trace) => result,
+        () = shared.stop.requests_end() => Err((Refusal::Stopped, None)),
+    };
     drop(in_progress);
     let elapsed = started_at.elapsed();
     let outcome = match &result {
@@ -83,6 +87,8 @@
     } else {
         "request"
     };
+    let begun_at = shared.stop.begun_at();
+    let stopping_ms = begun_at.map(|begun_at| milliseconds_between(begun_at, started_at));
     shared.log.record(event, sampling, || {
         let proof_age = shared.proof_age();
         json!({"request_id": id.as_ref().and_then(|id| id.to_str().ok()),
@@ -93,6 +99,7 @@
                "config_version": table.config().version,
                "proof_age_ms": proof_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
                "over_limit": trace.over_limit,
+               "stopping_ms": stopping_ms,
                "attempts": trace.attempts})
     });
     match result {
@@ -101,6 +108,13 @@
     }
 }
 
+/// Time from one moment to a later one in milliseconds; negative when the second one is earlier.
+fn milliseconds_between(from: Instant, to: Instant) -> i64 {
+    let milliseconds = |span: Duration| i64::try_from(span.as_millis()).unwrap_or(i64::MAX);
+    let forward = milliseconds(to.saturating_duration_since(from));
+    forward - milliseconds(from.saturating_duration_since(to))
+}
+
 /// Guard that counts a request as in progress until it ends or its caller closes the connection.
 struct InProgressGuard<'a>(&'a Shared);
 
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -34,6 +34,8 @@
     OutcomeUnknown,
     /// The deadline passed; a backend server may have run the request.
     TimedOut,
+    /// The process ends before the answer of a backend server, which may have run the request.
+    Stopped,
 }
 
 impl Refusal {
@@ -52,7 +54,7 @@
             | Self::NotRun
             | Self::ExpiredNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
-            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::TimedOut | Self::Stopped => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
@@ -72,6 +74,7 @@
             Self::ExpiredNotRun => "expired_not_run",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::TimedOut => "timed_out",
+            Self::Stopped => "stopped",
         }
     }
 }
