gateway: Refuse requests that outlast a planned stop

Cause: a stopping gateway took every request that reached it within 0.55 of the grace period, whatever time its route grants. With a grace period of 6 s and a route timeout of 4 s, each request that arrived later than 1.65 s after the signal could outlast the process. Class of fault: an instance takes a request that it cannot carry to its end, here for lack of time.

Ruled out: connections accepted after the listener had closed (all arrived before); the margin before the end of the grace period (moves the boundary only).

Change: StopPlan of crates/policy decides by the time limit of the request. One that ends with the process is served; any other is refused at once (503, not run, Retry-After 0), so that its caller has all of its time for another gateway.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -33,9 +33,6 @@
 /// observes the timeout never sends a request on a connection that is being closed.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
 
-/// Time between the end of the last request and the stop deadline, in which its answer is sent.
-const ANSWER_SEND_TIME: Duration = Duration::from_millis(50);
-
 /// Handle to the listener for callers.
 pub struct CallerListener {
     shared: Arc<Shared>,
@@ -74,23 +71,23 @@
     }
 
     /// Stops gracefully. Connections are accepted for a while, because callers cache the addresses of gateways;
-    /// then open connections close after the request in progress. Requests that are in progress shortly before the stop
-    /// deadline get an error response.
+    /// then open connections close after the request in progress. Requests whose time limit ends after the process are
+    /// refused from the beginning; those taken earlier get an error response shortly before the stop deadline.
     pub async fn stop(self) {
         let begun_at = self.shared.stop.begin();
-        let settings = &self.shared.settings;
-        let accept_for = Duration::from_millis(settings.stop_accepting_after_ms);
-        let deadline = begun_at + Duration::from_millis(settings.stop_deadline_ms);
-        sleep_until(begun_at + accept_for).await;
+        let plan = self.shared.stop.plan();
+        sleep_until(begun_at + plan.accept_for()).await;
         self.stop_accepting.cancel();
         self.close_connections.cancel();
         self.connections.close();
         self.record_progress("stop_accepting");
-        let ended = timeout_at(deadline - ANSWER_SEND_TIME, self.connections.wait()).await;
+        let requests_end_at = begun_at + plan.requests_end_after();
+        let ended = timeout_at(requests_end_at, self.connections.wait()).await;
         if ended.is_err() {
             self.record_progress("stop_deadline");
             self.shared.stop.end_requests();
             // Callers that do not read their answers must not delay the end of the process.
+            let deadline = begun_at + plan.process_ends_after();
             let _ = timeout_at(deadline, self.connections.wait()).await;
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -79,7 +79,7 @@
             headers: Headers::parse(&settings.headers)?,
             metrics: GatewayMetrics::register()?,
             log,
-            stop: PlannedStop::default(),
+            stop: PlannedStop::new(settings.stop_plan()),
             report_now: Notify::new(),
             contacts: Mutex::new(settings.contacts.clone()),
             table: Mutex::default(),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -26,6 +26,9 @@
 /// request; also the minimum for a request over the rate limit.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Time after which a caller may retry when this gateway is stopping: other gateways can serve it at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::ZERO;
+
 /// Maximum time in the retry-after header.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
 
@@ -144,6 +147,9 @@
     trace.deadline_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
     let deadline = started_at + timeout;
     let body = read_body(body, table.config().limits.body_bytes, deadline).await?;
+    if !shared.stop.can_finish(deadline) {
+        return Err((Refusal::Stopping, Some(STOPPING_RETRY_AFTER)));
+    }
     let service = choose_service(&rule.parts, shared.random());
     trace.service = Some(Arc::clone(&service));
     if let Some(organisation) = organisation {
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -22,6 +22,8 @@
     OverQuota,
     /// This gateway cannot prove that its configuration is current.
     NotFresh,
+    /// This gateway is stopping and ends before the time limit of the request.
+    Stopping,
     /// No backend server of the service accepts requests.
     NoServer,
     /// The request is quarantined because several backend servers crashed with it in flight.
@@ -49,6 +51,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             Self::NotFresh
+            | Self::Stopping
             | Self::NoServer
             | Self::CrashesServers
             | Self::NotRun
@@ -68,6 +71,7 @@
             Self::TooLarge => "too_large",
             Self::OverQuota => "over_quota",
             Self::NotFresh => "not_fresh",
+            Self::Stopping => "stopping",
             Self::NoServer => "no_backend_server",
             Self::CrashesServers => "crashes_backend_servers",
             Self::NotRun => "not_run",
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,8 +2,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use radishpaddle_kernel::settings::ValidationReport;
+use radishpaddle_policy::StopPlan;
 use serde::{Deserialize, Serialize};
 
 /// Settings of a gateway, built once at start.
@@ -95,6 +97,13 @@
 }
 
 impl GatewaySettings {
+    /// Times of a planned stop.
+    #[must_use]
+    pub fn stop_plan(&self) -> StopPlan {
+        let accept_for = Duration::from_millis(self.stop_accepting_after_ms);
+        StopPlan::new(accept_for, Duration::from_millis(self.stop_deadline_ms))
+    }
+
     /// Checks the ranges of the fields and adds each problem to the report.
     pub fn check(&self, report: &mut ValidationReport) {
         report.range("freshness_limit_ms", self.freshness_limit_ms, 500, 600_000);
@@ -107,6 +116,12 @@
         );
         report.range("quota.window_ms", self.quota.window_ms, 100, 600_000);
         report.range("stop_deadline_ms", self.stop_deadline_ms, 0, 600_000);
+        report.range(
+            "stop_accepting_after_ms",
+            self.stop_accepting_after_ms,
+            0,
+            self.stop_deadline_ms,
+        );
         if self.contacts.is_empty() {
             report.add("contacts", &"(empty)", "at least one coordinator");
         }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -2,23 +2,40 @@
 
 use std::sync::OnceLock;
 
+use radishpaddle_policy::StopPlan;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 /// State of the planned stop, which begins at most once.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PlannedStop {
+    plan: StopPlan,
     begun_at: OnceLock<Instant>,
     /// Cancelled when requests in progress end without the answer of a backend server.
     requests_end: CancellationToken,
 }
 
 impl PlannedStop {
+    /// Creates the state of a process that has got no stop signal.
+    #[must_use]
+    pub fn new(plan: StopPlan) -> Self {
+        Self {
+            plan,
+            begun_at: OnceLock::new(),
+            requests_end: CancellationToken::new(),
+        }
+    }
+
     /// Begins the stop and returns when it began.
     pub(crate) fn begin(&self) -> Instant {
         *self.begun_at.get_or_init(Instant::now)
     }
 
+    /// Times of the stop.
+    pub(crate) const fn plan(&self) -> &StopPlan {
+        &self.plan
+    }
+
     /// Time of the stop signal, if there was one.
     #[must_use]
     pub fn begun_at(&self) -> Option<Instant> {
@@ -31,6 +48,15 @@
         self.begun_at().is_some()
     }
 
+    /// Whether a request that may take until its deadline ends before the process does.
+    #[must_use]
+    pub fn can_finish(&self, deadline: Instant) -> bool {
+        self.begun_at().is_none_or(|begun_at| {
+            self.plan
+                .can_finish(deadline.saturating_duration_since(begun_at))
+        })
+    }
+
     /// Ends the requests in progress.
     pub(crate) fn end_requests(&self) {
         self.requests_end.cancel();
