gateway: Refuse connections before requests have to be refused in a stop

Cause: the listener stayed open for 0.55 of the grace period, 1.65 s longer than requests with the longest timeout could be taken. Change: connections are accepted only while a request with the longest timeout of the configuration can still end before the process.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -76,7 +76,8 @@
     pub async fn stop(self) {
         let begun_at = self.shared.stop.begin();
         let plan = self.shared.stop.plan();
-        sleep_until(begun_at + plan.accept_for()).await;
+        let longest_time_limit = self.shared.table().config().longest_timeout();
+        sleep_until(begun_at + plan.accept_for(longest_time_limit)).await;
         self.stop_accepting.cancel();
         self.close_connections.cancel();
         self.connections.close();
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -156,6 +157,14 @@
 }
 
 impl RoutingConfig {
+    /// Longest timeout of all routes.
+    #[must_use]
+    pub fn longest_timeout(&self) -> Duration {
+        let routes = self.hosts.iter().flat_map(|host| &host.routes);
+        let longest_ms = routes.map(|rule| rule.timeout_ms).max();
+        Duration::from_millis(longest_ms.unwrap_or_default())
+    }
+
     /// Checks that the configuration is consistent and can be put in force.
     ///
     /// # Errors
--- a/crates/policy/src/planned_stop.rs
+++ b/crates/policy/src/planned_stop.rs
@@ -27,10 +27,13 @@
         }
     }
 
-    /// Time for which connections are accepted.
+    /// Time for which connections are accepted when a request may take up to `longest_time_limit`. A caller whose
+    /// connection is refused goes to another instance, while many give up after a refusal of their request; so
+    /// connections are refused before requests have to be.
     #[must_use]
-    pub const fn accept_for(&self) -> Duration {
-        self.accept_for
+    pub fn accept_for(&self, longest_time_limit: Duration) -> Duration {
+        let last_start = self.requests_end_after.saturating_sub(longest_time_limit);
+        self.accept_for.min(last_start)
     }
 
     /// Time at which requests that are still in progress end without the answer of a backend server.
