coordinator: Leave gateways without servers out of the directory, and name relays for them

Cause: a gateway that is cut off from all backend servers stayed ready, so lookups kept sending callers to it.

Change: gateways report whether they reach backend servers (always true for now). A change is forwarded to the other coordinators at once, like a change of readiness. Lookups return gateways that reach backend servers, and all ready ones when none does: a wrong report by all must not empty the directory. The reply to a gateway that reaches none names up to 16 relays, those of its zone first. The protocol version becomes 4.

No test covers that Coordinator::reply fills the relays.

--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -3,11 +3,13 @@
 //! answers address lookups, and distributes the configuration in force to gateways.
 //!
 //! [`state`] is the replicated state machine. [`soft_state`], [`table`] and [`suspects`] hold soft state
-//! in memory, which announcements and polls rebuild within seconds. [`confirm`] proves that the replicated
-//! state is current, and [`coordinator::Coordinator`] is the handle used by the network adapters.
+//! in memory, which announcements and polls rebuild within seconds. [`directory`] selects the gateways that
+//! callers and other gateways are sent to. [`confirm`] proves that the replicated state is current, and
+//! [`coordinator::Coordinator`] is the handle used by the network adapters.
 
 pub mod confirm;
 pub mod coordinator;
+pub mod directory;
 pub mod exchange;
 pub mod metrics;
 pub mod peer_handler;
--- a/crates/coordinator/src/polls.rs
+++ b/crates/coordinator/src/polls.rs
@@ -28,6 +28,9 @@
 /// announced itself, so that the table counts as complete.
 const COMPLETE_AFTER_HEARTBEATS: u32 = 3;
 
+/// Maximum number of relays in a reply to a gateway that reaches no backend server.
+const RELAY_LIMIT: usize = 16;
+
 impl Coordinator {
     /// Handles the poll of a gateway: stores its report and replies as soon as there are updates, or after
     /// `POLL_HOLD_TIMEOUT`. Returns `None` without waiting when the gateway only reports.
@@ -119,7 +122,13 @@
         } else {
             poll.evidence_position
         };
-        let demand = soft_state.demand(boot_clock::now());
+        let now = boot_clock::now();
+        let demand = soft_state.demand(now);
+        let relays = if poll.presence.reaches_servers {
+            Vec::new()
+        } else {
+            soft_state.relays(instance, &poll.presence.zone, RELAY_LIMIT, now)
+        };
         let complete_after =
             Duration::from_millis(self.shared.settings.heartbeat_ms) * COMPLETE_AFTER_HEARTBEATS;
         let log_changed = full || poll.applied_index != view.applied_index;
@@ -144,6 +153,7 @@
             unknown_gateways: demand.unknown_gateways,
             own_demand: soft_state.gateway_demand(instance),
             gateways: demand.gateways,
+            relays,
             coordinators: self.coordinators_with_zones(&soft_state),
         }
     }
--- a/crates/coordinator/src/soft_state.rs
+++ b/crates/coordinator/src/soft_state.rs
@@ -8,14 +8,15 @@
 
 use radishpaddle_model::{
     Fingerprint, GatewayPresence, OrganisationDemand, RequestCrash, ServerEvidence, ServerPresence,
-    name_hash,
 };
 use radishpaddle_wire::PresenceExchange;
 
+use crate::directory;
 use crate::suspects::Suspects;
 use crate::table::ServerTable;
 
-/// Maximum age of a gateway's last report for its address to be returned to callers. Spans several polls.
+/// Maximum age of a gateway's last report for its address to be returned to callers and to gateways that need a
+/// relay. Spans several polls.
 const GATEWAY_LISTING_MAX_AGE: Duration = Duration::from_millis(1_300);
 
 /// Maximum age of a gateway's last report for the gateway to count towards the limits. Above it, its share
@@ -31,16 +32,12 @@
 const GATEWAY_EXPIRY: Duration = Duration::from_secs(30);
 
 /// Minimum interval between two reports of the same gateway that are forwarded to the other coordinators. A
-/// change of readiness is forwarded at once.
+/// change of readiness, or of whether the gateway reaches backend servers, is forwarded at once.
 const GATEWAY_FORWARD_INTERVAL: Duration = Duration::from_millis(190);
 
 /// Maximum number of evidence items kept for gateways that have not polled yet. The oldest is dropped first.
 const MAX_EVIDENCE: usize = 8_192;
 
-/// Number of ready gateways in the caller's availability zone below which callers get the gateways of all
-/// zones.
-const MIN_ZONE_GATEWAYS: usize = 3;
-
 /// Newest report of one gateway.
 #[derive(Debug, Clone)]
 struct GatewayEntry {
@@ -130,14 +127,15 @@
         }
         let forwarded_at = self.forwarded_at.get(&presence.instance).copied();
         let current = self.gateways.get(&presence.instance);
-        let same_readiness =
-            current.is_some_and(|current| current.presence.ready == presence.ready);
+        let availability = |presence: &GatewayPresence| (presence.ready, presence.reaches_servers);
+        let same_availability = current
+            .is_some_and(|current| availability(&current.presence) == availability(&presence));
         if !self.update_gateway(presence.clone(), now) {
             return;
         }
         let forwarded_recently =
             forwarded_at.is_some_and(|at| now.saturating_sub(at) < GATEWAY_FORWARD_INTERVAL);
-        if same_readiness && forwarded_recently {
+        if same_availability && forwarded_recently {
             return;
         }
         self.forwarded_at
@@ -233,10 +231,8 @@
             .retain(|name, _| self.gateways.contains_key(name));
     }
 
-    /// Returns at most `limit` addresses of ready gateways for callers in an availability zone. If there are
-    /// more gateways, the selection depends on the coordinator, so that different coordinators return
-    /// different gateways, and it is stable, because callers close connections to addresses that a lookup no
-    /// longer returns.
+    /// Returns at most `limit` addresses of gateways for callers in an availability zone, see
+    /// [`directory::caller_addresses`].
     #[must_use]
     pub fn gateway_addresses(
         &self,
@@ -244,30 +240,24 @@
         limit: usize,
         now: Duration,
     ) -> Vec<SocketAddr> {
+        directory::caller_addresses(&self.ready_gateways(now), zone, self.unsent.address, limit)
+    }
+
+    /// Returns at most `limit` addresses of gateways that can relay requests for the gateway `asking` in an
+    /// availability zone, see [`directory::relay_addresses`].
+    #[must_use]
+    pub fn relays(&self, asking: &str, zone: &str, limit: usize, now: Duration) -> Vec<SocketAddr> {
+        directory::relay_addresses(&self.ready_gateways(now), asking, zone, limit)
+    }
+
+    /// Returns the gateways that are ready for callers and reported recently.
+    fn ready_gateways(&self, now: Duration) -> Vec<&GatewayPresence> {
         let is_listed = |gateway: &&GatewayEntry| {
             let age = now.saturating_sub(gateway.reported_at);
             gateway.presence.ready && age <= GATEWAY_LISTING_MAX_AGE
         };
-        let ready: Vec<_> = self.gateways.values().filter(is_listed).collect();
-        let in_zone: Vec<_> = ready
-            .iter()
-            .filter(|gateway| Some(&*gateway.presence.zone) == zone)
-            .collect();
-        let mut addresses: Vec<_> = if in_zone.len() >= MIN_ZONE_GATEWAYS {
-            in_zone
-                .iter()
-                .map(|gateway| gateway.presence.address)
-                .collect()
-        } else {
-            ready
-                .iter()
-                .map(|gateway| gateway.presence.address)
-                .collect()
-        };
-        let own = self.unsent.address;
-        addresses.sort_by_key(|address| name_hash(&format!("{own}{address}")));
-        addresses.truncate(limit);
-        addresses
+        let listed = self.gateways.values().filter(is_listed);
+        listed.map(|gateway| &gateway.presence).collect()
     }
 
     /// Returns the demand of each organisation at all gateways together.
--- a/crates/gateway/src/poll_task.rs
+++ b/crates/gateway/src/poll_task.rs
@@ -215,6 +215,7 @@
                 address: settings.callers_listen,
                 zone: Arc::clone(&settings.zone),
                 ready: self.shared.is_ready(),
+                reaches_servers: true,
                 demand: self.shared.own_demand(),
             },
             evidence: self.shared.take_evidence(),
--- a/crates/gateway/tests/polls.rs
+++ b/crates/gateway/tests/polls.rs
@@ -70,6 +70,7 @@
         unknown_gateways: 0,
         own_demand: Vec::new(),
         gateways: 1,
+        relays: Vec::new(),
         coordinators: Vec::new(),
     }
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -25,7 +25,7 @@
 pub use key::{KeyHash, OrganisationKey};
 pub use presence::{
     GatewayPresence, OrganisationDemand, RequestCrash, Retirement, ServerEvidence, ServerPresence,
-    SuspectRequest, name_hash, short_name_key,
+    SuspectRequest, mix_hash, name_hash, short_name_key,
 };
 pub use result_code::{Outcome, Refusal, ResultCode};
 pub use routing::{
--- a/crates/model/src/presence.rs
+++ b/crates/model/src/presence.rs
@@ -116,6 +116,8 @@
     pub zone: Arc<str>,
     /// Whether the gateway is ready for requests of callers.
     pub ready: bool,
+    /// Whether the network path of the gateway to backend servers works.
+    pub reaches_servers: bool,
     /// Demand of the organisations at this gateway.
     pub demand: Vec<OrganisationDemand>,
 }
@@ -152,3 +154,14 @@
         (hash ^ u64::from(byte)).wrapping_mul(PRIME)
     })
 }
+
+/// Returns a hash with all bits mixed (the finalizer of `MurmurHash3`), so that the order of hashes of names that
+/// differ only in their last characters is unrelated to the order of the names.
+#[must_use]
+pub fn mix_hash(mut hash: u64) -> u64 {
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
+}
--- a/crates/wire/src/payload.rs
+++ b/crates/wire/src/payload.rs
@@ -9,7 +9,7 @@
 /// Version of the peer protocol. It must be incremented with every change of a payload type,
 /// because the postcard encoding contains no field names. Peers of different versions refuse each
 /// other.
-pub const PROTOCOL_VERSION: u32 = 3;
+pub const PROTOCOL_VERSION: u32 = 4;
 
 /// Encodes a payload.
 ///
--- a/crates/wire/src/poll.rs
+++ b/crates/wire/src/poll.rs
@@ -85,7 +85,10 @@
     pub own_demand: Vec<OrganisationDemand>,
     /// Number of gateways that reported recently, including the polling one.
     pub gateways: u32,
-    /// Number of these gateways whose newest reports are old, so that `demand` may miss what they admitted.
+    /// Caller addresses of gateways that reach backend servers, in the order of preference. Filled
+    /// only for a gateway that reports that it does not.
+    pub relays: Vec<SocketAddr>,
+    /// Number of the gateways in `gateways` whose newest reports are old, so that `demand` may miss what they admitted.
     pub unknown_gateways: u32,
     /// Peer address of each coordinator, with its availability zone if known.
     pub coordinators: Vec<(SocketAddr, Option<Arc<str>>)>,
