gateway: Relay requests to another gateway while no backend server is reached

Cause: a gateway did not know that it reaches no server. It counted each failed connection against its server, tried five in turn, and nobody learned of it.

Change: crates/policy judges reachability by new connections: failures at four servers (or all, where there are fewer) without one that was opened in between. After a failure the gateway connects to servers drawn at random, so a few servers that are down cost one check. The other gateway treats a relayed request like one of a caller, so key, limit, retries and outcome have one owner; it is never relayed twice. Failed connections of the time without servers no longer delay their use afterwards. Lines backend_servers_lost and backend_servers_regained, relays in the request line, metrics.

--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -212,6 +212,7 @@
         "backend_error" => "a backend server ran the request and answered with an error",
         "over_quota" => "not run: the organisation was over its limit for the whole fleet",
         "not_fresh" => "not run: the gateway could not prove that its configuration is current",
+        "isolated" => "not run: the gateway reached no backend server",
         "stopping" => "not run: the gateway was stopping and would have ended before the timeout",
         "no_backend_server" => "not run: no backend server of the service accepted requests",
         "not_run" => "not run: all backend servers that were tried refused it or were unreachable",
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,17 +5,20 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use radishpaddle_kernel::{boot_clock, http_headers};
+use radishpaddle_kernel::boot_clock;
 use radishpaddle_model::{Fingerprint, RoutingRule};
 use radishpaddle_policy::hedge::HedgeQuery;
 use serde::Serialize;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::backend_connection::{BackendAnswer, BackendConnection, SendFailure, SendOutcome};
+use crate::backend_connection::{
+    BackendAnswer, BackendConnection, ConnectFailure, SendFailure, SendOutcome,
+};
 use crate::crash_watch::ObservedCrash;
 use crate::forward::ForwardRequest;
 use crate::gateway::Shared;
 use crate::pool::ChosenServer;
+use crate::relay::{Relay, RelayOutcome, RelayRecord};
 use crate::response::{CallerResponse, Refusal};
 use crate::server::AttemptResult;
 
@@ -74,6 +77,8 @@
     pub answer: Result<CallerResponse, Refusal>,
     /// Attempts in the order in which they were made.
     pub attempts: Vec<AttemptRecord>,
+    /// Gateways to which the request was relayed.
+    pub relays: Vec<RelayRecord>,
 }
 
 /// Input for the attempts of one request.
@@ -175,6 +180,7 @@
     /// Makes attempts until there is a final outcome or no further attempt is permitted.
     pub async fn run(&self) -> RequestOutcome {
         let mut attempts = Vec::new();
+        let mut relays = Vec::new();
         let mut excluded: Vec<Arc<str>> = Vec::new();
         let mut runs = 0;
         let mut arrived = false;
@@ -184,6 +190,13 @@
             if !permitted || self.remaining() < MIN_ATTEMPT_TIME {
                 break fallback;
             }
+            if runs == 0 && relays.is_empty() {
+                let relayed = self.relay_if_isolated().await;
+                relays = relayed.records;
+                if let Some(answer) = relayed.answer {
+                    break preferred_outcome(fallback, answer);
+                }
+            }
             if self.shared.is_quarantined(|| self.fingerprint()) {
                 break preferred_outcome(fallback, Err(Refusal::CrashesServers));
             }
@@ -218,7 +231,25 @@
                 }
             }
         };
-        RequestOutcome { answer, attempts }
+        RequestOutcome {
+            answer,
+            attempts,
+            relays,
+        }
+    }
+
+    /// Relays the request if this gateway reaches no backend server.
+    async fn relay_if_isolated(&self) -> RelayOutcome {
+        if !self.shared.is_isolated() || self.request.is_relayed() {
+            return RelayOutcome::default();
+        }
+        let relay = Relay {
+            shared: &self.shared,
+            request: &self.request,
+            idempotent: self.rule.idempotent,
+            deadline: self.deadline,
+        };
+        relay.run().await
     }
 
     /// Time until the deadline of the request.
@@ -349,7 +380,7 @@
         };
         let connection = match chosen.connection.take() {
             Some(connection) => Ok(connection),
-            None => BackendConnection::open(chosen.address, self.remaining()).await,
+            None => self.open(&chosen).await,
         };
         let (next, result, label, connection) = match connection {
             Ok(connection) => self.send(connection, &chosen.id).await,
@@ -366,6 +397,15 @@
         (next, record)
     }
 
+    async fn open(&self, chosen: &ChosenServer) -> Result<BackendConnection, ConnectFailure> {
+        let connection = BackendConnection::open(chosen.address, self.remaining()).await;
+        match &connection {
+            Ok(_) => self.shared.record_connected(),
+            Err(_) => self.shared.record_connect_failure(&chosen.id),
+        }
+        connection
+    }
+
     /// Sends the request over an open connection and classifies the result.
     async fn send(&self, connection: BackendConnection, server: &str) -> AttemptEnd {
         let request = self
@@ -467,14 +507,8 @@
         (next, result, "server_error", connection)
     }
 
-    /// Converts the answer of a backend server into the answer to the caller.
-    fn to_caller_response(&self, mut answer: BackendAnswer) -> CallerResponse {
-        http_headers::strip_response_headers(&mut answer.headers, self.request.is_head());
-        CallerResponse {
-            status: answer.status,
-            headers: answer.headers,
-            body: answer.body,
-        }
+    fn to_caller_response(&self, answer: BackendAnswer) -> CallerResponse {
+        CallerResponse::forwarded(answer, self.request.is_head())
     }
 
     fn classify_failure(&self, failure: SendFailure, overdue: bool) -> AttemptEnd {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -6,7 +6,7 @@
 use anyhow::{Context as _, Result};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{HeaderName, HeaderValue};
+use hyper::header::{AUTHORIZATION, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Uri};
@@ -29,6 +29,8 @@
     pub expected_server: HeaderName,
     /// Present in an answer when the backend server did not run the request.
     pub not_run: HeaderName,
+    /// Name of the gateway that relayed a request.
+    pub relayed_by: HeaderName,
 }
 
 impl Headers {
@@ -48,6 +50,7 @@
             organisation: name(&names.organisation)?,
             expected_server: name(&names.expected_server)?,
             not_run: name(&names.not_run)?,
+            relayed_by: name(&names.relayed_by)?,
         })
     }
 }
@@ -57,6 +60,10 @@
 pub struct ForwardRequest {
     parts: Parts,
     body: Bytes,
+    /// Key of the caller, which only other gateways get.
+    authorization: Option<HeaderValue>,
+    /// Gateway that relayed the request to this one.
+    relayed_by: Option<HeaderValue>,
 }
 
 impl ForwardRequest {
@@ -68,6 +75,8 @@
         organisation: Option<&str>,
         headers: &Headers,
     ) -> Self {
+        let authorization = parts.headers.get(AUTHORIZATION).cloned();
+        let relayed_by = parts.headers.remove(&headers.relayed_by);
         http_headers::strip_request_headers(&mut parts.headers);
         parts.headers.remove(&headers.organisation);
         parts.headers.remove(&headers.expected_server);
@@ -80,7 +89,12 @@
         if let Some(path) = parts.uri.path_and_query() {
             parts.uri = Uri::from(path.clone());
         }
-        Self { parts, body }
+        Self {
+            parts,
+            body,
+            authorization,
+            relayed_by,
+        }
     }
 
     /// Computes the fingerprint that identifies the request by its content.
@@ -104,6 +118,18 @@
         self.parts.headers.get(&names.request_id)?.to_str().ok()
     }
 
+    /// Name of the gateway that relayed the request to this one.
+    #[must_use]
+    pub fn relayed_by(&self) -> Option<&str> {
+        self.relayed_by.as_ref()?.to_str().ok()
+    }
+
+    /// Whether another gateway relayed the request, so that it must not be relayed again.
+    #[must_use]
+    pub const fn is_relayed(&self) -> bool {
+        self.relayed_by.is_some()
+    }
+
     /// Whether the method is HEAD, so that the answer has no body although it may have a content length.
     #[must_use]
     pub fn is_head(&self) -> bool {
@@ -118,13 +144,39 @@
         remaining: Duration,
         names: &Headers,
     ) -> Request<Full<Bytes>> {
-        let mut parts = self.parts.clone();
-        let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+        let mut parts = self.parts_with_deadline(remaining, names);
         let headers = &mut parts.headers;
-        headers.insert(names.deadline_ms.clone(), HeaderValue::from(remaining_ms));
         if let Ok(value) = HeaderValue::from_str(server) {
             headers.insert(names.expected_server.clone(), value);
         }
         Request::from_parts(parts, Full::new(self.body.clone()))
     }
+
+    /// Builds the HTTP request for another gateway, with the key of the caller and the name of this gateway.
+    #[must_use]
+    pub fn for_relay(
+        &self,
+        instance: &str,
+        remaining: Duration,
+        names: &Headers,
+    ) -> Request<Full<Bytes>> {
+        let mut parts = self.parts_with_deadline(remaining, names);
+        let headers = &mut parts.headers;
+        headers.remove(&names.organisation);
+        if let Some(authorization) = &self.authorization {
+            headers.insert(AUTHORIZATION, authorization.clone());
+        }
+        let instance = HeaderValue::from_str(instance);
+        let instance = instance.unwrap_or(HeaderValue::from_static("gateway"));
+        headers.insert(names.relayed_by.clone(), instance);
+        Request::from_parts(parts, Full::new(self.body.clone()))
+    }
+
+    fn parts_with_deadline(&self, remaining: Duration, names: &Headers) -> Parts {
+        let mut parts = self.parts.clone();
+        let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+        let deadline = HeaderValue::from(remaining_ms);
+        parts.headers.insert(names.deadline_ms.clone(), deadline);
+        parts
+    }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
     SuspectRequest,
 };
 use radishpaddle_policy::hedge::{HedgeClass, HedgeQuery};
+use radishpaddle_policy::reachability::{Reachability, ReachabilityChange};
 use radishpaddle_wire::PollReply;
 use serde_json::json;
 use tokio::sync::{Notify, watch};
@@ -22,6 +23,7 @@
 use crate::crash_watch::{CRASH_CHECK_DELAY, CrashWatch, ObservedCrash};
 use crate::forward::Headers;
 use crate::metrics::GatewayMetrics;
+use crate::path_check;
 use crate::poll_task;
 use crate::pool::{ChosenServer, Pools};
 use crate::quota::{FleetDemand, Limit, OverLimit, Quota};
@@ -45,9 +47,14 @@
     pub log: DecisionLog,
     /// Planned stop of the process.
     pub stop: PlannedStop,
+    /// Wakes the task that checks whether backend servers can be reached.
+    pub(crate) path_doubted: Notify,
     /// Wakes the poll task to report a failure or crash without waiting for the next poll.
     pub report_now: Notify,
     contacts: Mutex<Vec<SocketAddr>>,
+    reachability: Mutex<Reachability>,
+    /// Caller addresses of gateways that reach backend servers, while this one does not.
+    relays: Mutex<Vec<SocketAddr>>,
     table: Mutex<Arc<RoutingTable>>,
     pools: Mutex<Pools>,
     quota: Mutex<Quota>,
@@ -80,7 +87,10 @@
             metrics: GatewayMetrics::register()?,
             log,
             stop: PlannedStop::new(settings.stop_plan()),
+            path_doubted: Notify::new(),
             report_now: Notify::new(),
+            reachability: Mutex::default(),
+            relays: Mutex::default(),
             contacts: Mutex::new(settings.contacts.clone()),
             table: Mutex::default(),
             pools: Mutex::new(Pools::new(Arc::clone(&settings.zone), budget)),
@@ -94,6 +104,7 @@
         });
         let callers = CallerListener::bind(Arc::clone(&shared)).await?;
         poll_task::spawn(Arc::clone(&shared));
+        path_check::spawn(Arc::clone(&shared));
         tokio::spawn(close_idle(Arc::clone(&shared)));
         Ok(Self { shared, callers })
     }
@@ -277,6 +288,72 @@
         }
     }
 
+    /// Whether this gateway reaches no backend server.
+    pub(crate) fn is_isolated(&self) -> bool {
+        lock(&self.reachability).is_isolated()
+    }
+
+    /// Whether a connection to a backend server failed and none has been opened since.
+    pub(crate) fn is_path_doubtful(&self) -> bool {
+        lock(&self.reachability).unreachable_servers() > 0
+    }
+
+    /// Records that a connection to a backend server was opened.
+    pub(crate) fn record_connected(&self) {
+        let change = lock(&self.reachability).record_connected();
+        if change == Some(ReachabilityChange::Regained) {
+            // The failures before had no cause at the servers.
+            lock(&self.pools).clear_connect_backoff();
+            self.report_reachability(ReachabilityChange::Regained);
+        }
+    }
+
+    /// Records that no connection to a backend server could be opened.
+    pub(crate) fn record_connect_failure(&self, server: &Arc<str>) {
+        let known_servers = lock(&self.pools).known_servers();
+        let change = lock(&self.reachability).record_failure(server, known_servers);
+        self.path_doubted.notify_one();
+        if change == Some(ReachabilityChange::Lost) {
+            self.report_reachability(ReachabilityChange::Lost);
+        }
+    }
+
+    /// Reports a change of the reachability to the log, the metrics and a coordinator.
+    fn report_reachability(&self, change: ReachabilityChange) {
+        let (event, reachable) = match change {
+            ReachabilityChange::Lost => ("backend_servers_lost", 0),
+            ReachabilityChange::Regained => ("backend_servers_regained", 1),
+        };
+        self.metrics.backend_servers_reachable.set(reachable);
+        let unreachable = lock(&self.reachability).unreachable_servers();
+        self.log.record(
+            event,
+            LogSampling::Each,
+            || json!({"unreachable_servers": unreachable, "relays": lock(&self.relays).len()}),
+        );
+        self.report_now.notify_one();
+    }
+
+    /// Returns backend servers at random to check the path to them.
+    pub(crate) fn sample_servers(&self, count: usize) -> Vec<(Arc<str>, SocketAddr)> {
+        lock(&self.pools).sample_servers(count)
+    }
+
+    pub(crate) fn store_idle(&self, server: &str, connection: BackendConnection) {
+        lock(&self.pools).store_idle(server, connection);
+    }
+
+    /// Replaces the gateways to which requests may be relayed.
+    pub(crate) fn set_relays(&self, relays: Vec<SocketAddr>) {
+        *lock(&self.relays) = relays;
+    }
+
+    /// Returns gateways at random to which a request may be relayed.
+    pub(crate) fn choose_relays(&self, count: usize) -> Vec<SocketAddr> {
+        let relays = lock(&self.relays).clone();
+        lock(&self.pools).choose_relays(&relays, count)
+    }
+
     pub(crate) fn record_request(&self, service: &Arc<str>) {
         lock(&self.pools).record_request(service, boot_clock::now());
     }
@@ -331,9 +408,12 @@
     ) {
         tokio::time::sleep(CRASH_CHECK_DELAY).await;
         match BackendConnection::open(address, CONNECT_TIMEOUT).await {
-            Ok(connection) => return lock(&self.pools).store_idle(&server, connection),
-            Err(ConnectFailure::Unreachable) => return,
-            Err(ConnectFailure::Refused) => (),
+            Ok(connection) => {
+                self.record_connected();
+                return self.store_idle(&server, connection);
+            }
+            Err(ConnectFailure::Unreachable) => return self.record_connect_failure(&server),
+            Err(ConnectFailure::Refused) => self.record_connect_failure(&server),
         }
         self.log.record("request_crash", LogSampling::Each, || {
             json!({"request_id": request_id, "backend_server": server,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,7 +17,10 @@
     registry: Registry,
     requests: IntCounterVec,
     attempts: IntCounterVec,
+    relays: IntCounterVec,
     latency: HistogramVec,
+    /// 1 while backend servers can be reached, 0 otherwise.
+    pub backend_servers_reachable: IntGauge,
     /// Requests that are being served.
     pub in_progress: IntGauge,
     /// Open caller connections.
@@ -49,6 +52,17 @@
         let attempts = Opts::new("attempts_total", "Attempts at backend servers by result.");
         let attempts = IntCounterVec::new(attempts, &["service", "result"])?;
         registry.register(Box::new(attempts.clone()))?;
+        let relays = Opts::new(
+            "relays_total",
+            "Requests sent to another gateway by result.",
+        );
+        let relays = IntCounterVec::new(relays, &["result"])?;
+        registry.register(Box::new(relays.clone()))?;
+        let reachable = gauge(
+            "backend_servers_reachable",
+            "1 while backend servers can be reached.",
+        )?;
+        reachable.set(1);
         let latency = HistogramOpts::new("request_seconds", "Time from the head to the answer.");
         let latency = latency.buckets(LATENCY_BUCKETS_S.to_vec());
         let latency = HistogramVec::new(latency, &["service"])?;
@@ -56,7 +70,9 @@
         Ok(Self {
             requests,
             attempts,
+            relays,
             latency,
+            backend_servers_reachable: reachable,
             in_progress: gauge("requests_in_progress", "Requests that are being served.")?,
             connections: gauge("caller_connections", "Open connections of callers.")?,
             config_version: gauge("config_version", "Version of the configuration in use.")?,
@@ -84,6 +100,11 @@
         self.attempts.with_label_values(&[service, result]).inc();
     }
 
+    /// Counts the result of sending a request to another gateway.
+    pub fn record_relay(&self, result: &str) {
+        self.relays.with_label_values(&[result]).inc();
+    }
+
     /// Renders the metrics in the Prometheus text format.
     #[must_use]
     pub fn render(&self) -> String {
--- a/crates/gateway/src/poll_task.rs
+++ b/crates/gateway/src/poll_task.rs
@@ -215,7 +215,7 @@
                 address: settings.callers_listen,
                 zone: Arc::clone(&settings.zone),
                 ready: self.shared.is_ready(),
-                reaches_servers: true,
+                reaches_servers: !self.shared.is_isolated(),
                 demand: self.shared.own_demand(),
             },
             evidence: self.shared.take_evidence(),
@@ -251,6 +251,7 @@
         if !reply.coordinators.is_empty() {
             self.coordinators.clone_from(&reply.coordinators);
         }
+        self.shared.set_relays(std::mem::take(&mut reply.relays));
         let proof_age = reply.proof_age_ms;
         let is_stale =
             proof_age.is_none_or(|age| Duration::from_millis(age.into()) > MAX_PROOF_AGE);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -8,7 +8,7 @@
 use radishpaddle_model::{Retirement, ServerEvidence, short_name_key};
 use radishpaddle_wire::ServerUpdate;
 use rand::rngs::SmallRng;
-use rand::seq::IteratorRandom as _;
+use rand::seq::{IndexedRandom as _, IteratorRandom as _};
 use rand::{Rng as _, SeedableRng as _};
 
 use crate::backend_connection::BackendConnection;
@@ -400,6 +400,35 @@
         }
     }
 
+    /// Number of backend servers of all services.
+    #[must_use]
+    pub fn known_servers(&self) -> usize {
+        self.service_of.len()
+    }
+
+    /// Returns at most `count` backend servers at random, of all services.
+    pub fn sample_servers(&mut self, count: usize) -> Vec<(Arc<str>, SocketAddr)> {
+        let servers = self.services.values().flatten();
+        let accepting =
+            servers.filter(|(name, server)| server.accepts_requests(self.retired.get(*name)));
+        let addresses = accepting.map(|(name, server)| (Arc::clone(name), server.presence.address));
+        addresses.choose_multiple(&mut self.rng, count)
+    }
+
+    /// Returns at most `count` of the gateways in random order.
+    pub(crate) fn choose_relays(&mut self, relays: &[SocketAddr], count: usize) -> Vec<SocketAddr> {
+        let chosen = relays.choose_multiple(&mut self.rng, count);
+        chosen.copied().collect()
+    }
+
+    /// Ends the back-off of all backend servers after failures to connect.
+    pub fn clear_connect_backoff(&mut self) {
+        for server in self.services.values_mut().flat_map(HashMap::values_mut) {
+            server.connect_failures = 0;
+            server.connect_backoff_until = Duration::ZERO;
+        }
+    }
+
     /// Returns a random number from 0 (inclusive) to 1 (exclusive), for weighted choices.
     pub fn random(&mut self) -> f64 {
         self.rng.random_range(0.0..1.0)
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -20,6 +20,7 @@
 use crate::forward::ForwardRequest;
 use crate::gateway::Shared;
 use crate::quota::{Limit, OverLimit};
+use crate::relay::{Relay, RelayRecord};
 use crate::response::{CallerResponse, Refusal};
 
 /// Time after which a caller may retry when the gateway has no current configuration or no server accepted the
@@ -52,6 +53,9 @@
     service: Option<Arc<str>>,
     organisation: Option<Arc<str>>,
     attempts: Vec<AttemptRecord>,
+    relays: Vec<RelayRecord>,
+    /// Gateway that relayed the request to this one.
+    relayed_by: Option<Arc<str>>,
     over_limit: Option<OverLimit>,
     deadline_ms: u64,
 }
@@ -103,6 +107,8 @@
                "proof_age_ms": proof_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
                "over_limit": trace.over_limit,
                "stopping_ms": stopping_ms,
+               "relayed_by": trace.relayed_by,
+               "relays": trace.relays,
                "attempts": trace.attempts})
     });
     match result {
@@ -150,14 +156,32 @@
     if !shared.stop.can_finish(deadline) {
         return Err((Refusal::Stopping, Some(STOPPING_RETRY_AFTER)));
     }
+    let name = organisation.map(|organisation| &*organisation.name);
+    let request = ForwardRequest::new(parts, body, name, &shared.headers);
+    trace.relayed_by = request.relayed_by().map(Arc::from);
+    if shared.is_isolated() {
+        if request.is_relayed() {
+            return Err((Refusal::Isolated, Some(RETRY_AFTER)));
+        }
+        // Before the rate limit is applied, which the other gateway does.
+        let relay = Relay {
+            shared,
+            request: &request,
+            idempotent: rule.idempotent,
+            deadline,
+        };
+        let relayed = relay.run().await;
+        trace.relays = relayed.records;
+        if let Some(answer) = relayed.answer {
+            return answer.map_err(|refusal| (refusal, None));
+        }
+    }
     let service = choose_service(&rule.parts, shared.random());
     trace.service = Some(Arc::clone(&service));
     if let Some(organisation) = organisation {
         admit(shared, organisation, trace).inspect_err(|_| shared.count_refused(&service))?;
     }
     shared.record_request(&service);
-    let name = organisation.map(|organisation| &*organisation.name);
-    let request = ForwardRequest::new(parts, body, name, &shared.headers);
     let plan = RequestPlan {
         shared: Arc::clone(shared),
         rule: Arc::clone(rule),
@@ -167,6 +191,7 @@
     };
     let outcome = plan.run().await;
     trace.attempts = outcome.attempts;
+    trace.relays.extend(outcome.relays);
     outcome.answer.map_err(|refusal| {
         let may_retry = matches!(refusal, Refusal::NotRun | Refusal::NoServer);
         (refusal, may_retry.then_some(RETRY_AFTER))
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -6,6 +6,9 @@
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
+use radishpaddle_kernel::http_headers;
+
+use crate::backend_connection::BackendAnswer;
 
 /// Reason for a response that the gateway creates instead of forwarding one of a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,6 +27,8 @@
     NotFresh,
     /// This gateway is stopping and ends before the time limit of the request.
     Stopping,
+    /// This gateway reaches no backend server, and another gateway has relayed the request to it.
+    Isolated,
     /// No backend server of the service accepts requests.
     NoServer,
     /// The request is quarantined because several backend servers crashed with it in flight.
@@ -52,6 +57,7 @@
             Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             Self::NotFresh
             | Self::Stopping
+            | Self::Isolated
             | Self::NoServer
             | Self::CrashesServers
             | Self::NotRun
@@ -72,6 +78,7 @@
             Self::OverQuota => "over_quota",
             Self::NotFresh => "not_fresh",
             Self::Stopping => "stopping",
+            Self::Isolated => "isolated",
             Self::NoServer => "no_backend_server",
             Self::CrashesServers => "crashes_backend_servers",
             Self::NotRun => "not_run",
@@ -112,6 +119,18 @@
         }
     }
 
+    /// Creates the response that passes an answer on, without its hop-by-hop headers. `is_head` tells that the request
+    /// was a HEAD request.
+    #[must_use]
+    pub fn forwarded(mut answer: BackendAnswer, is_head: bool) -> Self {
+        http_headers::strip_response_headers(&mut answer.headers, is_head);
+        Self {
+            status: answer.status,
+            headers: answer.headers,
+            body: answer.body,
+        }
+    }
+
     /// Converts this into an HTTP response.
     #[must_use]
     pub fn into_response(self) -> Response<Full<Bytes>> {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -82,6 +82,9 @@
     pub expected_server: Arc<str>,
     /// Present in an answer when the backend server did not run the request.
     pub not_run: Arc<str>,
+    /// Name of the gateway that relayed a request to this one.
+    #[serde(default = "default_relayed_by")]
+    pub relayed_by: Arc<str>,
 }
 
 impl Default for HeaderNames {
@@ -92,10 +95,15 @@
             organisation: "x-organisation".into(),
             expected_server: "x-backend-server".into(),
             not_run: "x-shed".into(),
+            relayed_by: default_relayed_by(),
         }
     }
 }
 
+fn default_relayed_by() -> Arc<str> {
+    "x-relayed-by".into()
+}
+
 impl GatewaySettings {
     /// Times of a planned stop.
     #[must_use]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod probation;
 pub mod quarantine;
 mod rates;
+pub mod reachability;
 mod rollout;
 pub mod router;
 mod scoring;
