gateway: Accept no answer without the request id on a kept connection

Seen by callers: 503, "not run, try again", for requests that a server ran or was running, and requests that are not idempotent ran at several servers. A faulty server wrote an earlier refusal once more on a kept connection, and the next request there got it as its answer.

Cause: BackendConnection::send refused only answers that carry another id. An answer without id, or with two ids of which the first is the right one, was accepted.

Change: on a connection that has carried an exchange, an answer needs the id of the request; otherwise it is AnswerCrossed, which promises nothing. All ids in an answer have to be that of the request. On the first exchange of a connection there is no earlier answer, so an answer without id is accepted, but the connection is then not kept: its next answer could not be told from a copy.

Ruled out: bytes that arrive on an idle connection or in the same segment as the answer before (the HTTP library ends the connection and writes nothing of the next request; 50 repetitions of each case), interim responses (skipped; an id in them counts for nothing), and a request without id that gets an answer with one (AnswerCrossed before, too).

--- a/crates/gateway/src/backend_connection.rs
+++ b/crates/gateway/src/backend_connection.rs
@@ -58,7 +58,7 @@
     ConnectionLost,
     /// The answer is truncated, malformed, too large, or encoded by an intermediary.
     AnswerInvalid,
-    /// The request id in the answer is that of another request.
+    /// The answer belongs to another request, or cannot be told from a late copy of an earlier answer.
     AnswerCrossed,
 }
 
@@ -81,6 +81,8 @@
     idle_since: Instant,
     /// Idle time after which the connection is not reused.
     idle_limit: Duration,
+    /// Whether the connection has carried an earlier answer, of which the server may send a late copy.
+    is_reused: bool,
 }
 
 impl Drop for BackendConnection {
@@ -122,6 +124,7 @@
             task: task.abort_handle(),
             idle_since: Instant::now(),
             idle_limit: DEFAULT_IDLE_LIMIT,
+            is_reused: false,
         })
     }
 
@@ -139,6 +142,9 @@
 
     /// Sends a request and reads the whole answer. There is no timeout here; dropping the future closes the
     /// connection.
+    ///
+    /// The connection is kept only when the answer echoed the request id: copies of other answers could not be told from
+    /// the next answer.
     pub async fn send(
         mut self,
         request: Request<Full<Bytes>>,
@@ -163,15 +169,16 @@
                 return SendOutcome::Unknown(failure);
             }
         };
-        if response.headers().get(id_header) != id.as_ref()
-            && response.headers().contains_key(id_header)
-        {
+        let echo = IdEcho::of(response.headers(), id_header, id.as_ref());
+        if echo == IdEcho::Other || echo == IdEcho::Absent && self.is_reused {
             return SendOutcome::Unknown(SendFailure::AnswerCrossed);
         }
         match read_answer(response).await {
             Some(answer) => {
-                let reusable = self.update_keep_alive(&answer.headers);
+                let stays_open = self.update_keep_alive(&answer.headers);
+                let reusable = stays_open && echo == IdEcho::Own;
                 self.idle_since = Instant::now();
+                self.is_reused = true;
                 SendOutcome::Answered(answer, reusable.then_some(self))
             }
             None => SendOutcome::Unknown(SendFailure::AnswerInvalid),
@@ -204,6 +211,30 @@
     }
 }
 
+/// Request id in an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum IdEcho {
+    /// Id of the request at hand.
+    Own,
+    /// No id.
+    Absent,
+    /// Id of another request, also beside that of the request at hand.
+    Other,
+}
+
+impl IdEcho {
+    fn of(answer: &HeaderMap, id_header: &HeaderName, id: Option<&HeaderValue>) -> Self {
+        let mut echoed = answer.get_all(id_header).iter().peekable();
+        if echoed.peek().is_none() {
+            Self::Absent
+        } else if echoed.all(|value| Some(value) == id) {
+            Self::Own
+        } else {
+            Self::Other
+        }
+    }
+}
+
 #[expect(
     clippy::needless_pass_by_value,
     reason = "passed to map_err, which hands over the error by value"
