gateway: Refuse a change of protocol that was not asked for

Seen by callers: status 101 with an empty body as the answer to a request, counted as an answer of the server.

Cause: the HTTP library skips interim responses except 101, which it returns as a final one. The gateway passed on every status below 500.

Change: an informational status is an invalid answer, which promises nothing.

Ruled out: other interim responses are skipped, and an id in them is not taken for that of the answer.

Before: the case "change of protocol that was not asked for" of an_answer_on_a_kept_connection_needs_the_id_of_the_request gave 101. After: it passes.

--- a/crates/gateway/src/backend_connection.rs
+++ b/crates/gateway/src/backend_connection.rs
@@ -275,13 +275,17 @@
     }
 }
 
-/// Reads the whole answer; `None` when it is truncated, too large, or encoded by an intermediary.
+/// Reads the whole answer; `None` when it is truncated, too large, no final one, or encoded by an intermediary.
 async fn read_answer(response: Response<Incoming>) -> Option<BackendAnswer> {
     let (parts, mut body) = response.into_parts();
     // The gateway requests no content encoding, so an encoded body comes from an intermediary.
     if parts.headers.contains_key(CONTENT_ENCODING) {
         return None;
     }
+    // Status 101 ends the exchange without an answer, and the gateway asks for no other protocol.
+    if parts.status.is_informational() {
+        return None;
+    }
     let mut collected = BytesMut::new();
     let mut receiving = ReceivingBytes::default();
     while let Some(frame) = body.frame().await {
--- a/crates/gateway/tests/answer_identity.rs
+++ b/crates/gateway/tests/answer_identity.rs
@@ -90,6 +90,7 @@
 #[tokio::test]
 async fn an_answer_on_a_kept_connection_needs_the_id_of_the_request() {
     const CROSSED: Result<u16, Option<SendFailure>> = Err(Some(SendFailure::AnswerCrossed));
+    const INVALID: Result<u16, Option<SendFailure>> = Err(Some(SendFailure::AnswerInvalid));
     let cases = [
         (
             "own id",
@@ -139,6 +140,11 @@
              HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
             CROSSED,
         ),
+        (
+            "change of protocol that was not asked for",
+            "HTTP/1.1 101 Switching Protocols\r\nX-Request-Id: second\r\n\r\n",
+            INVALID,
+        ),
     ];
     let mut failed = Vec::new();
     for (name, answer, expected) in cases {
