entry: Accept no response without the request id on a kept connection

Cause: read_response refused only responses whose first id is another one. A late copy of an earlier response without id was taken for the response to the request at hand.

Change: on a connection that has carried an exchange, a response needs the id of the request, and all ids in a response have to be it. On the first exchange a response without id is accepted, but the connection is not kept, so servers that do not echo the id cost a connection for each request.

Ruled out: a second request with the same id on a connection. The entry proxy draws the ids itself, and repetitions and hedges go to servers that have not been tried. Bytes on an idle connection: as in the gateway, the HTTP library ends the connection.

--- a/crates/entry/src/backend_connection.rs
+++ b/crates/entry/src/backend_connection.rs
@@ -37,7 +37,8 @@
     ConnectionLost,
     /// The complete response did not arrive before the deadline.
     TimedOut,
-    /// The response is malformed or truncated, or carries the id of another request.
+    /// The response is malformed or truncated, belongs to another request, or cannot be told from a
+    /// late copy of an earlier response.
     AnswerInvalid,
     /// The response exceeds the size limit of the service.
     AnswerTooLarge,
@@ -60,6 +61,9 @@
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     idle_since: Instant,
+    /// Whether the connection has carried an earlier response, of which the server may send a late
+    /// copy.
+    is_reused: bool,
 }
 
 impl Drop for BackendConnection {
@@ -93,6 +97,7 @@
             sender,
             task: task.abort_handle(),
             idle_since: Instant::now(),
+            is_reused: false,
         })
     }
 
@@ -103,7 +108,8 @@
     }
 
     /// Sends a request and reads the complete response. Returns the connection too if it can be
-    /// reused.
+    /// reused, which requires that the response echoed the request id: copies of other responses
+    /// could not be told from the next response.
     pub async fn send(
         mut self,
         request: Request<Full<Bytes>>,
@@ -123,15 +129,16 @@
             Ok(Err(mut error)) => return (send_failure(error.take_message().is_some()), None),
             Err(_) => return (AttemptOutcome::Unknown(AttemptFailure::TimedOut), None),
         };
-        match timeout_at(
-            deadline,
-            read_response(response, request_id, max_answer_bytes),
-        )
-        .await
-        {
+        let echoes_id = match check_request_id(response.headers(), request_id.as_ref()) {
+            Ok(echoes_id) if echoes_id || !self.is_reused => echoes_id,
+            _ => return (AttemptOutcome::Unknown(AttemptFailure::AnswerInvalid), None),
+        };
+        match timeout_at(deadline, read_response(response, max_answer_bytes)).await {
             Ok(Ok(response)) => {
                 self.idle_since = Instant::now();
-                (AttemptOutcome::Answered(response), Some(self))
+                self.is_reused = true;
+                let reusable = echoes_id.then_some(self);
+                (AttemptOutcome::Answered(response), reusable)
             }
             Ok(Err(failure)) => (AttemptOutcome::Unknown(failure), None),
             Err(_) => (AttemptOutcome::Unknown(AttemptFailure::TimedOut), None),
@@ -148,16 +155,26 @@
     }
 }
 
+/// Returns whether the response echoes the request id. Fails if it carries the id of another
+/// request, also beside the right one.
+fn check_request_id(
+    headers: &HeaderMap,
+    request_id: Option<&HeaderValue>,
+) -> Result<bool, AttemptFailure> {
+    let mut echoed = headers.get_all(REQUEST_ID).iter().peekable();
+    let echoes_id = echoed.peek().is_some();
+    if echoed.all(|value| Some(value) == request_id) {
+        Ok(echoes_id)
+    } else {
+        Err(AttemptFailure::AnswerInvalid)
+    }
+}
+
 async fn read_response(
     response: Response<Incoming>,
-    request_id: Option<HeaderValue>,
     max_answer_bytes: usize,
 ) -> Result<BackendResponse, AttemptFailure> {
     let (parts, mut body) = response.into_parts();
-    let echoed_request_id = parts.headers.get(REQUEST_ID);
-    if echoed_request_id.is_some() && echoed_request_id != request_id.as_ref() {
-        return Err(AttemptFailure::AnswerInvalid);
-    }
     if !has_explicit_length(&parts) && !body.is_end_stream() {
         return Err(AttemptFailure::AnswerInvalid);
     }
--- a/crates/testkit/src/backend/serve.rs
+++ b/crates/testkit/src/backend/serve.rs
@@ -30,6 +30,9 @@
 use crate::caller::ADDRESSES_PATH;
 use crate::clock::now_us;
 
+/// Header with the id of a request.
+const REQUEST_ID: &str = "x-request-id";
+
 /// Time after the deadline at which a deliberately late response is sent.
 const LATE_RESPONSE_DELAY: Duration = Duration::from_millis(50);
 
@@ -106,12 +109,26 @@
     let io = TokioIo::new(ExcessByteStream::new(stream, Arc::clone(&excess)));
     let service = service_fn(|request| {
         let (shared, excess) = (Arc::clone(shared), Arc::clone(&excess));
-        async move { handle(shared, excess, request).await }
+        async move { handle_with_id(shared, excess, request).await }
     });
     // Fails only when the peer or an injected fault closes the connection, or on malformed HTTP.
     let _ = http1::Builder::new().serve_connection(io, service).await;
 }
 
+/// Handles a request and echoes its id, without which the fleet does not reuse the connection.
+async fn handle_with_id(
+    shared: Arc<Shared>,
+    excess: Arc<ExcessBytes>,
+    request: Request<Incoming>,
+) -> io::Result<BackendResponse> {
+    let id = request.headers().get(REQUEST_ID).cloned();
+    let mut response = handle(shared, excess, request).await?;
+    if let Some(id) = id {
+        response.headers_mut().insert(REQUEST_ID, id);
+    }
+    Ok(response)
+}
+
 async fn handle(
     shared: Arc<Shared>,
     excess: Arc<ExcessBytes>,
@@ -311,7 +328,7 @@
         backend_server: shared.settings.backend_server.clone(),
         incarnation: shared.incarnation(),
         number: 0,
-        request_id: text("x-request-id"),
+        request_id: text(REQUEST_ID),
         operation: text("x-test-operation"),
         method: head.method.to_string(),
         path: path_with_query(head).to_owned(),
