kernel: Take over the planned stop of the gateway

The entry proxy needs the same state: the times of StopPlan counted from the stop signal, whether a request can still finish, and the signal that ends the requests in progress. Moved without a change of behaviour.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use radishpaddle_kernel::{DecisionLog, LogSampling, boot_clock};
+use radishpaddle_kernel::{DecisionLog, LogSampling, PlannedStop, boot_clock};
 use radishpaddle_model::{
     Fingerprint, OrganisationDemand, RequestCrash, RoutingConfig, RoutingRule, RoutingTable,
     SuspectRequest,
@@ -30,7 +30,6 @@
 use crate::selection::ServiceTime;
 use crate::server::AttemptResult;
 use crate::settings::GatewaySettings;
-use crate::stop::PlannedStop;
 
 /// Period between two checks for idle connections that have expired.
 const IDLE_CHECK_PERIOD: Duration = Duration::from_millis(500);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,7 +24,6 @@
 pub mod selection;
 pub mod server;
 pub mod settings;
-pub mod stop;
 
 pub use gateway::Gateway;
 pub use settings::{GatewaySettings, HeaderNames};
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod kernel;
 pub mod logging;
 pub mod peer_identity;
+pub mod planned_stop;
 pub mod plugin;
 pub mod process;
 pub mod settings;
@@ -26,6 +27,7 @@
 pub use http_server::{HttpApi, HttpServer};
 pub use journal::{Event, Journal};
 pub use kernel::Kernel;
+pub use planned_stop::PlannedStop;
 pub use plugin::{Plugin, PluginHandle, Program};
 pub use settings::{CommonSettings, ProcessSettings, SettingsError};
 
--- a/crates/gateway/src/stop.rs
+++ b/crates/kernel/src/planned_stop.rs
@@ -1,4 +1,4 @@
-//! Planned stop of a gateway.
+//! Planned stop of an instance that serves callers.
 
 use std::sync::OnceLock;
 
@@ -27,12 +27,13 @@
     }
 
     /// Begins the stop and returns when it began.
-    pub(crate) fn begin(&self) -> Instant {
+    pub fn begin(&self) -> Instant {
         *self.begun_at.get_or_init(Instant::now)
     }
 
     /// Times of the stop.
-    pub(crate) const fn plan(&self) -> &StopPlan {
+    #[must_use]
+    pub const fn plan(&self) -> &StopPlan {
         &self.plan
     }
 
@@ -58,12 +59,12 @@
     }
 
     /// Ends the requests in progress.
-    pub(crate) fn end_requests(&self) {
+    pub fn end_requests(&self) {
         self.requests_end.cancel();
     }
 
     /// Waits until the requests in progress have to end.
-    pub(crate) async fn requests_end(&self) {
+    pub async fn requests_end(&self) {
         self.requests_end.cancelled().await;
     }
 }
