entry: Refuse requests that outlast a planned stop

Cause: during the drain window a stopping entry instance took every valid request, whatever time limit its route grants, and at the stop deadline the process ended with whatever was in progress.

What callers saw: the connection closed without an answer at the stop deadline; actions lost the use of their idempotency key, although some of them had never reached a backend server.

Now StopPlan decides, as for the gateways. A request whose time limit ends after the process is refused at once with the new code 2022 (not run), before a rate token or a claim is asked for. New connections are refused before that, because their callers then go to another instance; open connections stay open for the drain window, since closing one while its caller sends leaves an unknown outcome. What is in progress 1 s before the stop deadline is answered with 3008 (outcome unknown) and its claim completed, or with 2022 and its claim released if no server can have got it. Each step and each such request has a line in the log. The last second is for returning the rate allocations, which had no time left before.

Ruled out: a stopping instance in the address list; callers_are_sent_to_a_stopping_instance passed before and after.

--- a/crates/bench/src/emulator.rs
+++ b/crates/bench/src/emulator.rs
@@ -570,7 +570,8 @@
         ResultCode::NotFresh
         | ResultCode::ClaimUnavailable
         | ResultCode::ClaimContended
-        | ResultCode::AllocationUnavailable => true,
+        | ResultCode::AllocationUnavailable
+        | ResultCode::Stopping => true,
         ResultCode::BackendFailed | ResultCode::BackendTimeout | ResultCode::InProgress => {
             kind == Kind::Action
         }
--- a/crates/e2e/src/fleet.rs
+++ b/crates/e2e/src/fleet.rs
@@ -120,6 +120,13 @@
             .collect()
     }
 
+    /// Returns the address on which an entry instance accepts callers. No fault proxy is on this link, so that
+    /// a test sees whether the instance refuses connections.
+    #[must_use]
+    pub fn caller_listen_address(&self, entry: usize) -> SocketAddr {
+        self.addresses(Node::Entry(entry)).clients
+    }
+
     /// Returns the address of the operator API of a control instance. No fault proxy is on this link.
     #[must_use]
     pub fn operator_address(&self, control: usize) -> SocketAddr {
@@ -402,7 +409,7 @@
             admin_listen,
             log: self.plan.log.clone(),
             journal_events: 10_000,
-            stop_deadline_ms: 30_000,
+            stop_deadline_ms: self.plan.stop_deadline_ms,
             peer_tls: None,
         }
     }
--- a/crates/e2e/src/plan.rs
+++ b/crates/e2e/src/plan.rs
@@ -41,6 +41,8 @@
     pub rate_and_burst: (f64, u32),
     /// Periods and lifetimes of the entry instances.
     pub timing: TimingSettings,
+    /// Longest planned stop of a process, in milliseconds.
+    pub stop_deadline_ms: u64,
     /// Log filter of the processes, such as `info`.
     pub log: Arc<str>,
 }
@@ -63,6 +65,7 @@
                 keep_alive_ms: 1_000,
                 ..TimingSettings::default()
             },
+            stop_deadline_ms: 30_000,
             log: "info".into(),
         }
     }
--- a/crates/e2e/src/scenario.rs
+++ b/crates/e2e/src/scenario.rs
@@ -75,17 +75,37 @@
     #[must_use]
     pub fn caller(&self, entries: &[usize], max_attempts: u32) -> Caller {
         let addresses = self.fleet.caller_addresses();
-        let seeds: Vec<SocketAddr> = entries.iter().map(|entry| addresses[*entry]).collect();
-        let grant = &self.keys[0];
+        let seeds = entries.iter().map(|entry| addresses[*entry]).collect();
+        let settings = self.caller_settings(seeds);
         let settings = CallerSettings {
             max_attempts,
             keep_alive_ms: 900,
-            seeds_only: true,
-            ..CallerSettings::new(seeds).with_key(grant.organisation.clone(), grant.key.clone())
+            ..settings
+        };
+        Caller::new(settings, Some(self.recorder.clone()))
+    }
+
+    /// Creates a caller of the first organisation that makes one attempt at one entry instance, without a fault
+    /// proxy, and keeps its connections for 10 s.
+    #[must_use]
+    pub fn direct_caller(&self, entry: usize) -> Caller {
+        let settings = CallerSettings {
+            max_attempts: 1,
+            keep_alive_ms: 10_000,
+            ..self.caller_settings(vec![self.fleet.caller_listen_address(entry)])
         };
         Caller::new(settings, Some(self.recorder.clone()))
     }
 
+    fn caller_settings(&self, seeds: Vec<SocketAddr>) -> CallerSettings {
+        let grant = &self.keys[0];
+        let settings = CallerSettings {
+            seeds_only: true,
+            ..CallerSettings::new(seeds)
+        };
+        settings.with_key(grant.organisation.clone(), grant.key.clone())
+    }
+
     /// Creates a caller of the first organisation that uses all entry instances in turn.
     #[must_use]
     pub fn round_robin_caller(&self, max_attempts: u32) -> Caller {
--- a/crates/entry/src/caller_listener.rs
+++ b/crates/entry/src/caller_listener.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until, timeout_at};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -31,8 +31,6 @@
 struct ConnectionContext {
     handler: Arc<RequestHandler>,
     addresses: AddressResponder,
-    /// Cancelled when a planned stop begins. From then on every response closes its connection.
-    stopping: CancellationToken,
     /// Cancelled at the end of the drain window. Open connections close after the request in
     /// progress.
     closing: CancellationToken,
@@ -44,7 +42,6 @@
     context: Arc<ConnectionContext>,
     accepting: CancellationToken,
     connections: TaskTracker,
-    drain_window: Duration,
 }
 
 impl CallerListener {
@@ -53,21 +50,15 @@
     /// # Errors
     ///
     /// Fails when the address cannot be bound.
-    pub async fn bind(
-        handler: Arc<RequestHandler>,
-        addresses: AddressResponder,
-        stopping: CancellationToken,
-    ) -> Result<Self> {
+    pub async fn bind(handler: Arc<RequestHandler>, addresses: AddressResponder) -> Result<Self> {
         let address = handler.settings.listen.callers;
         let listener = TcpListener::bind(address)
             .await
             .with_context(|| format!("cannot bind the caller address {address}"))?;
         let address = listener.local_addr()?;
-        let drain_window = handler.settings.timing.drain_window();
         let context = Arc::new(ConnectionContext {
             handler,
             addresses,
-            stopping,
             closing: CancellationToken::new(),
         });
         let accepting = CancellationToken::new();
@@ -83,7 +74,6 @@
             context,
             accepting,
             connections,
-            drain_window,
         })
     }
 
@@ -94,21 +84,42 @@
     }
 
     /// Stops the listener. It keeps serving during the drain window, because callers may have
-    /// cached the address list. After that it accepts no connection and closes the open ones after
-    /// the request in progress. Returns at `deadline` at the latest.
+    /// cached the address list or keep an idle connection. New connections are accepted only while
+    /// every request can end in time; requests on open connections whose time limit ends later are
+    /// refused. After the window, open connections close after the request in progress. Requests
+    /// that do not end in time get a refusal shortly before the end. Returns at `deadline` at the
+    /// latest.
     pub async fn stop(self, deadline: Instant) {
-        let window_end = (Instant::now() + self.drain_window).min(deadline);
-        tokio::time::sleep_until(window_end).await;
+        let handler = &self.context.handler;
+        let begun_at = handler.stop.begin();
+        let plan = handler.stop.plan();
+        let at = |after: Duration| (begun_at + after).min(deadline);
+        let longest_time_limit = handler.config.current().longest_timeout();
+        sleep_until(at(plan.accept_for(longest_time_limit))).await;
         self.accepting.cancel();
+        self.log_progress("no more connections are accepted");
+        let drain_window = handler.settings.timing.drain_window();
+        sleep_until(at(drain_window.min(plan.requests_end_after()))).await;
         self.context.closing.cancel();
         self.connections.close();
-        if tokio::time::timeout_at(deadline, self.connections.wait())
-            .await
-            .is_err()
-        {
-            log::warn!("entry: stop deadline passed with requests in progress");
+        let ended = timeout_at(at(plan.requests_end_after()), self.connections.wait());
+        if ended.await.is_err() {
+            self.log_progress("the time for requests has passed");
+            handler.stop.end_requests();
+            // Callers that do not read their responses must not delay the end of the process.
+            let _ = timeout_at(at(plan.process_ends_after()), self.connections.wait()).await;
         }
     }
+
+    /// Logs a step of the stop with the requests in progress.
+    fn log_progress(&self, step: &str) {
+        let metrics = &self.context.handler.metrics;
+        log::info!(
+            "entry: planned stop: {step}; {} requests in progress on {} connections",
+            metrics.in_progress.get(),
+            metrics.connections.get()
+        );
+    }
 }
 
 async fn accept_connections(
@@ -172,7 +183,7 @@
     };
     let mut response = caller_response.into_response(&request_id);
     let headers = response.headers_mut();
-    if context.stopping.is_cancelled() {
+    if context.handler.stop.has_begun() {
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     } else {
         let seconds = context.handler.settings.timing.keep_alive_ms / 1000;
--- a/crates/entry/src/plugins.rs
+++ b/crates/entry/src/plugins.rs
@@ -9,7 +9,7 @@
 use radishpaddle_kernel::admin::{AdminServer, Readiness};
 use radishpaddle_kernel::peer_identity::{client_identity, server_identity};
 use radishpaddle_kernel::plugin::PluginFuture;
-use radishpaddle_kernel::{Context, Plugin, PluginHandle, Program, inventory};
+use radishpaddle_kernel::{Context, PlannedStop, Plugin, PluginHandle, Program, inventory};
 use radishpaddle_quorum::InstanceIncarnation;
 use radishpaddle_quorum::claim::ClaimSettings;
 use radishpaddle_wire::{ClientIdentity, PeerClient, PeerServer};
@@ -31,7 +31,7 @@
 use crate::refusal_log::RefusalLog;
 use crate::request_handler::{RequestHandler, RequestIdGenerator};
 use crate::services::Services;
-use crate::settings::{EntrySettings, LimitSettings};
+use crate::settings::{EntrySettings, LimitSettings, RELEASE_TIMEOUT};
 use crate::status;
 use crate::sync_task::{self, SyncInputs};
 use crate::witness_client::WitnessClients;
@@ -47,9 +47,6 @@
 inventory::submit! { Plugin { program: Program::Entry, name: "backend-servers", order: 50, start: |context| backend_servers(context) } }
 inventory::submit! { Plugin { program: Program::Entry, name: "callers", order: 60, start: |context| callers(context) } }
 
-/// Time limit at a stop for returning the rate allocations to the witness leader.
-const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
-
 fn admin(context: Arc<Context>) -> PluginFuture<Result<PluginHandle>> {
     Box::pin(async move {
         let settings = context.get::<EntrySettings>()?;
@@ -249,11 +246,11 @@
             refusal_log: RefusalLog::new(context.journal.clone()),
             clock,
             request_ids: ids,
+            stop: Arc::new(PlannedStop::new(settings.stop_plan())),
             settings,
         };
-        let stopping = context.stopping.clone();
         let addresses = AddressResponder::new(fleet, lifetime);
-        let listener = CallerListener::bind(Arc::new(handler), addresses, stopping).await?;
+        let listener = CallerListener::bind(Arc::new(handler), addresses).await?;
         log::info!("entry: listening for callers at {}", listener.address());
         Ok(PluginHandle::new(|deadline| listener.stop(deadline)))
     })
--- a/crates/entry/src/request_handler.rs
+++ b/crates/entry/src/request_handler.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::http::request::Parts;
+use radishpaddle_kernel::PlannedStop;
 use radishpaddle_model::{
     Access, Fingerprint as PoisonFingerprint, FleetConfig, OrganisationId, OrganisationKey,
     Outcome, ResultCode, Route, ServiceDocument, ServiceId,
@@ -70,6 +71,8 @@
     pub clock: Clock,
     /// Generator of request ids.
     pub request_ids: RequestIdGenerator,
+    /// Planned stop of the instance.
+    pub stop: Arc<PlannedStop>,
 }
 
 /// Generates request ids that are unique across instances and restarts.
@@ -105,6 +108,14 @@
     key: Option<OrganisationKey>,
 }
 
+/// Request that has passed all checks before its first attempt.
+enum PreparedRequest {
+    /// Run the attempts, under the claim if the request is an action.
+    Run(Box<RequestExecutor>, Option<Box<Claim>>),
+    /// Return the response of an earlier attempt with the same idempotency key.
+    Replay(CallerResponse),
+}
+
 /// Result code and message of a refusal.
 type Rejection = (ResultCode, &'static str);
 
@@ -137,9 +148,33 @@
             self.refusal_log
                 .record(labels, response.code, request_id, now);
         }
+        if let ResultCode::Stopping | ResultCode::Stopped = response.code {
+            self.log_stop_refusal(labels, response.code, request_id, started_at);
+        }
         response
     }
 
+    /// Logs a request that a planned stop refused or ended. The journal is lost with the process.
+    fn log_stop_refusal(
+        &self,
+        labels: RequestLabels<'_>,
+        code: ResultCode,
+        request_id: &str,
+        started_at: Instant,
+    ) {
+        let begun_at = self.stop.begun_at();
+        let since_signal = begun_at.map_or(Duration::ZERO, |begun_at| begun_at.elapsed());
+        log::warn!(
+            "entry: planned stop: request {request_id} of {} on route {}/{} ends with {code} after {} ms, {} ms \
+             after the stop signal",
+            labels.organisation,
+            labels.service,
+            labels.route,
+            started_at.elapsed().as_millis(),
+            since_signal.as_millis(),
+        );
+    }
+
     /// Finds service and route and authenticates the caller. Runs also while this instance is not
     /// fresh, because the metrics of the refusal are labelled with the result.
     fn resolve(config: &FleetConfig, parts: &Parts) -> Result<ResolvedRequest, Rejection> {
@@ -192,6 +227,30 @@
         started_at: Instant,
         request_id: &str,
     ) -> Result<CallerResponse, Rejection> {
+        let prepared = tokio::select! {
+            biased;
+            prepared = self.prepare(resolved, parts, body, started_at, request_id) => prepared?,
+            () = self.stop.requests_end() => {
+                return Err((ResultCode::Stopping, not_run_message(ResultCode::Stopping)));
+            }
+        };
+        match prepared {
+            PreparedRequest::Run(executor, claim) => {
+                Ok(run_to_completion(executor, claim, Arc::clone(&self.stop)).await)
+            }
+            PreparedRequest::Replay(response) => Ok(response),
+        }
+    }
+
+    /// Checks a request, waits for its rate token and claims it if it is an action.
+    async fn prepare(
+        &self,
+        resolved: &ResolvedRequest,
+        parts: Parts,
+        body: Incoming,
+        started_at: Instant,
+        request_id: &str,
+    ) -> Result<PreparedRequest, Rejection> {
         let deadline = started_at + request_timeout(&resolved.route, &parts)?;
         let idempotency_key = idempotency_key(&resolved.route, &parts)?;
         let body = self.read_body(body, &resolved.document, deadline).await?;
@@ -201,6 +260,10 @@
             let message = "path or body contain the organisation key";
             return Err((ResultCode::BadRequest, message));
         }
+        if !self.stop.can_finish(deadline) {
+            let message = "the instance is stopping and ends before the deadline of the request";
+            return Err((ResultCode::Stopping, message));
+        }
         let request = ForwardRequest::new(
             parts,
             body,
@@ -234,7 +297,7 @@
         let claim = match idempotency_key {
             Some(key) => match self.claim(resolved, &organisation, &key, &request).await? {
                 Ok(claim) => Some(claim),
-                Err(response) => return Ok(response),
+                Err(response) => return Ok(PreparedRequest::Replay(response)),
             },
             None => None,
         };
@@ -254,7 +317,7 @@
             tickets: self.tickets.clone(),
             fingerprint: poison_fingerprint,
         };
-        Ok(run_to_completion(executor, claim).await)
+        Ok(PreparedRequest::Run(Box::new(executor), claim))
     }
 
     /// Waits for a token from the rate and burst of the organisation.
@@ -325,12 +388,16 @@
 
 /// Runs the attempts. A claimed request runs in its own task, so that the claim is completed or
 /// abandoned even if the caller disconnects and its future is dropped.
-async fn run_to_completion(executor: RequestExecutor, claim: Option<Box<Claim>>) -> CallerResponse {
+async fn run_to_completion(
+    executor: Box<RequestExecutor>,
+    claim: Option<Box<Claim>>,
+    stop: Arc<PlannedStop>,
+) -> CallerResponse {
     let Some(claim) = claim else {
-        return caller_response(executor.run().await);
+        return caller_response(run_attempts(&executor, &stop).await);
     };
     let task = tokio::spawn(async move {
-        let outcome = executor.run().await;
+        let outcome = run_attempts(&executor, &stop).await;
         match &outcome {
             RequestOutcome::Answered(response) => claim.complete(Some(response)),
             RequestOutcome::NotRun(_) => claim.abandon(),
@@ -346,6 +413,19 @@
     })
 }
 
+/// Runs the attempts until they end or a planned stop ends them. A request that no backend server
+/// can have run by then counts as not run, so that its idempotency key stays usable.
+async fn run_attempts(executor: &RequestExecutor, stop: &PlannedStop) -> RequestOutcome {
+    tokio::select! {
+        biased;
+        outcome = executor.run() => outcome,
+        () = stop.requests_end() => match executor.possibly_executed.load(Ordering::Relaxed) {
+            0 => RequestOutcome::NotRun(ResultCode::Stopping),
+            _ => RequestOutcome::Unknown(ResultCode::Stopped),
+        },
+    }
+}
+
 fn caller_response(outcome: RequestOutcome) -> CallerResponse {
     match outcome {
         RequestOutcome::Answered(response) => response,
@@ -364,6 +444,7 @@
         ResultCode::Shed => "every backend server that was tried shed the request",
         ResultCode::BackendUnreachable => "no backend server could be reached",
         ResultCode::Quarantined => "the request crashed backend servers and is held back",
+        ResultCode::Stopping => "the instance stops, and no backend server has got the request",
         _ => "the request was not run",
     }
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -8,8 +8,13 @@
 use radishpaddle_kernel::settings::ValidationReport;
 use radishpaddle_kernel::{CommonSettings, ProcessSettings};
 use radishpaddle_model::{AvailabilityZone, ByteSize, InstanceId};
+use radishpaddle_policy::StopPlan;
 use serde::{Deserialize, Serialize};
 
+/// Time limit at the end of a planned stop, after the last request, for returning the rate allocations to the witness
+/// leader.
+pub const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Settings file of `radishpaddle-entry`.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -148,6 +153,16 @@
         self.advertise.callers.unwrap_or(self.listen.callers)
     }
 
+    /// Returns the times of a planned stop, as far as callers are concerned. Requests end [`RELEASE_TIMEOUT`] before
+    /// the stop deadline, or a quarter of it if that is shorter.
+    #[must_use]
+    pub fn stop_plan(&self) -> StopPlan {
+        let stop_deadline = Duration::from_millis(self.common.stop_deadline_ms);
+        let release_time = RELEASE_TIMEOUT.min(stop_deadline / 4);
+        let callers_end_after = stop_deadline.saturating_sub(release_time);
+        StopPlan::new(self.timing.drain_window(), callers_end_after)
+    }
+
     /// Returns whether this instance is a witness.
     #[must_use]
     pub fn is_witness(&self) -> bool {
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -122,6 +123,15 @@
         true
     }
 
+    /// Returns the longest time limit of all routes.
+    #[must_use]
+    pub fn longest_timeout(&self) -> Duration {
+        let documents = self.services.values().map(|entry| &entry.document);
+        let routes = documents.flat_map(|document| &document.routes);
+        let longest_ms = routes.map(|route| route.timeout_ms).max();
+        Duration::from_millis(longest_ms.unwrap_or_default())
+    }
+
     /// Returns the revision that the next submission for the service must replace, or 0 if the service has no
     /// document.
     #[must_use]
--- a/crates/model/src/result_code.rs
+++ b/crates/model/src/result_code.rs
@@ -101,6 +101,8 @@
     RequestTimeout = 2020, 408, NotRun, "request_timeout";
     /// The rate allocation of the organisation could not be renewed.
     AllocationUnavailable = 2021, 503, NotRun, "allocation_unavailable";
+    /// The instance is stopping, and the time limit of the request ends after the instance does.
+    Stopping = 2022, 503, NotRun, "stopping";
     /// The connection to the backend server was lost after the request was sent.
     BackendFailed = 3001, 502, OutcomeUnknown, "backend_failed";
     /// The backend server did not answer within the timeout of the request.
@@ -115,6 +117,8 @@
     AnswerInvalid = 3006, 502, OutcomeUnknown, "answer_invalid";
     /// The action was executed, but its response was too large to be recorded.
     AnswerNotRecorded = 3007, 409, OutcomeUnknown, "answer_not_recorded";
+    /// The instance stopped before the backend server answered.
+    Stopped = 3008, 504, OutcomeUnknown, "stopped";
     /// The token of the operator or backend server is missing or invalid.
     Unauthorised = 4001, 401, NotRun, "unauthorised";
     /// The submission replaces a revision that is not the current one.
--- a/crates/testkit/src/caller/mod.rs
+++ b/crates/testkit/src/caller/mod.rs
@@ -320,6 +320,7 @@
         Code::BackendUnreachable,
         Code::ClaimContended,
         Code::AllocationUnavailable,
+        Code::Stopping,
     ];
     TEMPORARY.iter().any(|temporary| temporary.number() == code)
 }
