coordinator: Answer the requests in progress at a planned stop

Cause: the coordinator closed all connections at the stop signal, whatever was in progress.

What operators saw: a configuration that waited for the other coordinators at that moment got no answer, so its outcome was open; the same holds for a backend server whose retirement was being committed.

HttpServer::stop refuses connections and closes the open ones after the request in progress.

Not part of this: held polls and relayed proposals on the peer port are still cut; their senders repeat them.

--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -29,6 +29,9 @@
 /// try another instance.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Maximum time for which a stopping coordinator answers the requests in progress. The longest ones are commits.
+pub const STOP_TIMEOUT: Duration = Duration::from_millis(1_200);
+
 /// Delay before a failed proposal is retried.
 const COMMIT_RETRY_DELAY: Duration = Duration::from_millis(60);
 
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -20,6 +20,6 @@
 pub mod suspects;
 pub mod table;
 
-pub use coordinator::{AnnounceError, Coordinator, ReadError, SubmitError};
+pub use coordinator::{AnnounceError, Coordinator, ReadError, STOP_TIMEOUT, SubmitError};
 pub use settings::CoordinatorSettings;
 pub use state::{CoordinatorState, StoredConfig};
--- a/crates/kernel/src/http_server.rs
+++ b/crates/kernel/src/http_server.rs
@@ -8,6 +8,7 @@
 
 use anyhow::{Context as _, Result};
 use bytes::Bytes;
+use futures_util::future::join_all;
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -16,7 +17,9 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio::time::{Instant, timeout_at};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 /// Maximum size of a request body, in bytes.
 const MAX_REQUEST_BODY_BYTES: usize = 16 << 20;
@@ -40,7 +43,17 @@
 #[derive(Debug)]
 pub struct HttpServer {
     address: SocketAddr,
-    stop: CancellationToken,
+    stop: StopTokens,
+    connections: TaskTracker,
+}
+
+/// Tokens that stop the connections of a server.
+#[derive(Debug, Clone, Default)]
+struct StopTokens {
+    /// Cancelled when no more connections are accepted and open ones close after the request in progress.
+    close: CancellationToken,
+    /// Cancelled when open connections close at once.
+    abort: CancellationToken,
 }
 
 impl HttpServer {
@@ -54,9 +67,26 @@
             .await
             .with_context(|| format!("cannot bind {address}"))?;
         let address = listener.local_addr()?;
-        let stop = CancellationToken::new();
-        tokio::spawn(accept_connections(listener, api, stop.clone()));
-        Ok(Self { address, stop })
+        let (stop, connections) = (StopTokens::default(), TaskTracker::new());
+        tokio::spawn(accept_connections(
+            listener,
+            api,
+            stop.clone(),
+            connections.clone(),
+        ));
+        Ok(Self {
+            address,
+            stop,
+            connections,
+        })
+    }
+
+    /// Stops the server: refuses connections, and closes the open ones after the request in progress, at `deadline`
+    /// at the latest.
+    pub async fn stop(self, deadline: Instant) {
+        self.stop.close.cancel();
+        self.connections.close();
+        let _ = timeout_at(deadline, self.connections.wait()).await;
     }
 
     /// Returns the bound address, with the actual port if port 0 was requested.
@@ -66,22 +96,30 @@
     }
 }
 
+/// Stops several servers at the same time, see [`HttpServer::stop`].
+pub async fn stop_all(servers: Vec<HttpServer>, timeout: Duration) {
+    let deadline = Instant::now() + timeout;
+    join_all(servers.into_iter().map(|server| server.stop(deadline))).await;
+}
+
 impl Drop for HttpServer {
     fn drop(&mut self) {
-        self.stop.cancel();
+        self.stop.close.cancel();
+        self.stop.abort.cancel();
     }
 }
 
 async fn accept_connections<A: HttpApi>(
     listener: TcpListener,
     api: Arc<A>,
-    stop: CancellationToken,
+    stop: StopTokens,
+    connections: TaskTracker,
 ) {
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = stop.cancelled() => return,
+            () = stop.close.cancelled() => return,
         };
         let Ok((stream, _)) = accepted else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -91,25 +129,30 @@
             continue;
         };
         let (api, stop) = (Arc::clone(&api), stop.clone());
-        tokio::spawn(async move {
+        connections.spawn(async move {
             tokio::select! {
-                () = serve_connection(stream, api) => (),
-                () = stop.cancelled() => (),
+                () = serve_connection(stream, api, &stop.close) => (),
+                () = stop.abort.cancelled() => (),
             }
             drop(permit);
         });
     }
 }
 
-async fn serve_connection<A: HttpApi>(stream: TcpStream, api: Arc<A>) {
+async fn serve_connection<A: HttpApi>(stream: TcpStream, api: Arc<A>, close: &CancellationToken) {
     let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| respond(request, Arc::clone(&api)));
-    // Errors of one connection affect only its client, so they are ignored.
-    let _ = http1::Builder::new()
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    // Errors of one connection affect only its client, so they are ignored.
+    tokio::select! {
+        _ = &mut connection => return,
+        () = close.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
 }
 
 async fn respond<A: HttpApi>(
