gateway: Show that the loss of one service isolates gateways from all others

Cause: `Reachability` takes failures at four servers without a new connection in between for a lost path. The attempts of one request make five such failures within milliseconds at the servers of one service, before the check of the path starts (after 100 ms). Requests of other services use kept connections, which do not count. The gateway relays them to others, which are in the same state and refuse them.

--- a/crates/gateway/tests/isolated_gateway.rs
+++ b/crates/gateway/tests/isolated_gateway.rs
@@ -25,6 +25,9 @@
 /// Name of the gateways that know only servers which refuse connections.
 const ISOLATED: &str = "gateway-isolated";
 
+/// Name of the gateways that reach the servers of `avail`, and know servers of `permits` of which none runs.
+const HALF_SERVED: &str = "gateway-half-served";
+
 /// Requests of each test.
 const REQUESTS: u32 = 20;
 
@@ -55,12 +58,15 @@
         }
         let is_cut_off = poll.presence.instance.starts_with(ISOLATED);
         reply.servers = if is_cut_off {
-            (1..=6)
-                .map(|number| update(number, unused_address(number)))
-                .collect()
+            unused_servers("avail")
         } else {
-            vec![update(1, self.server)]
+            vec![update(1, "avail", self.server)]
         };
+        if poll.presence.instance.starts_with(HALF_SERVED) {
+            let more = (2..=20).map(|number| update(number, "avail", self.server));
+            reply.servers.extend(more);
+            reply.servers.extend(unused_servers("permits"));
+        }
         let answer = (!poll.report_only).then_some(reply);
         response::Kind::Payload(encode(&answer).unwrap())
     }
@@ -71,11 +77,17 @@
     SocketAddr::from(([127, 77, 41, number], 9))
 }
 
-fn update(number: u8, address: SocketAddr) -> ServerUpdate {
+/// Servers of a service that refuse connections.
+fn unused_servers(service: &str) -> Vec<ServerUpdate> {
+    let servers = (101..=106).map(|number| update(number, service, unused_address(number)));
+    servers.collect()
+}
+
+fn update(number: u8, service: &str, address: SocketAddr) -> ServerUpdate {
     ServerUpdate {
         presence: ServerPresence {
             id: format!("server-{number}").into(),
-            service: "avail".into(),
+            service: service.into(),
             address,
             zone: "yard".into(),
             slots: 3,
@@ -88,7 +100,7 @@
     }
 }
 
-fn rule(name: &str, idempotent: bool) -> RoutingRule {
+fn rule(name: &str, service: &str, idempotent: bool) -> RoutingRule {
     RoutingRule {
         name: name.into(),
         path_prefix: format!("/{name}/").into(),
@@ -96,7 +108,7 @@
         open: true,
         priority: 0,
         parts: vec![RoutePart {
-            service: "avail".into(),
+            service: service.into(),
             weight: 1.0,
         }],
         timeout_ms: 2_000,
@@ -112,12 +124,20 @@
         organisations: Vec::new(),
         hosts: vec![HostRoutes {
             host: "hire.example".into(),
-            routes: vec![rule("holds", false), rule("lookups", true)],
-        }],
-        services: vec![RoutedService {
-            name: "avail".into(),
-            max_connections: 100,
+            routes: vec![
+                rule("holds", "avail", false),
+                rule("lookups", "avail", true),
+                rule("permits", "permits", false),
+            ],
         }],
+        services: vec![service("avail"), service("permits")],
+    }
+}
+
+fn service(name: &str) -> RoutedService {
+    RoutedService {
+        name: name.into(),
+        max_connections: 100,
     }
 }
 
@@ -361,3 +381,26 @@
 
     assert_eq!(statuses, vec![Some(200); REQUESTS as usize]);
 }
+
+/// Guards against gateways that count as cut off because all servers of one service are down, and then send the requests of
+/// other services to each other instead of to the servers that they reach.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_without_servers_isolates_gateways_that_reach_others() {
+    let (server, _) = start_server(SocketAddr::from(([127, 0, 0, 1], 0)), true);
+    let (listener, coordinator) = start_coordinator(server, vec![local(10), local(11)]).await;
+    let (first, second) = (format!("{HALF_SERVED}-1"), format!("{HALF_SERVED}-2"));
+    let _first = start_gateway(&first, local(10), listener.address()).await;
+    let _second = start_gateway(&second, local(11), listener.address()).await;
+
+    let mut statuses = Vec::new();
+    for number in 0..REQUESTS {
+        let id = format!("id-{number}");
+        send(local(10), "permits", &id).await;
+        send(local(11), "permits", &id).await;
+        statuses.push(send(local(10), "holds", &id).await);
+        sleep(Duration::from_millis(50)).await;
+    }
+
+    assert_eq!(statuses, vec![Some(200); REQUESTS as usize]);
+    assert!(!coordinator.isolation_reported.load(Ordering::Relaxed));
+}
