gateway: Refuse relayed requests at a gateway with an older configuration

Callers saw (test): a gateway that uses a new configuration but reaches no server relays to others; 11 of 20 requests on a route that the new configuration added were answered 404, since one of the two other gateways had not got it yet, and the next one was served.

Cause: the other gateway resolves a relayed request by its own configuration, which may lag. Class: an instance takes a request that it cannot carry to its end, here for lack of the configuration.

Change: a relayed request carries the version of the gateway that relays it. One that holds an older version refuses it as not run, and the next gateway is tried. The header is removed from all requests, so it reaches no backend server; a caller that sends it can only have its own request refused.

Test: a_relayed_request_is_handled_by_an_older_configuration failed before (11 of 20 got 404), passes now. The test of a service without servers no longer names the asking gateway as its own relay.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,7 +6,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hyper::StatusCode;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::{Request, StatusCode};
 use serde::Serialize;
 use tokio::time::{Instant, timeout_at};
 
@@ -18,6 +21,10 @@
 /// Maximum number of gateways that are tried for one request.
 pub(crate) const MAX_RELAYS: usize = 3;
 
+/// Configuration version of the gateway that relays a request. One that uses an older configuration must not handle it:
+/// the caller would see its gateway return to that configuration.
+const CONFIG_VERSION: HeaderName = HeaderName::from_static("x-relay-config-version");
+
 /// Remaining time below which a request is not relayed.
 const MIN_RELAY_TIME: Duration = Duration::from_millis(15);
 
@@ -60,6 +67,11 @@
     pub(crate) deadline: Instant,
 }
 
+/// Removes the configuration version of the gateway that relayed a request, and returns it.
+pub(crate) fn take_config_version(headers: &mut HeaderMap) -> Option<u64> {
+    headers.remove(CONFIG_VERSION)?.to_str().ok()?.parse().ok()
+}
+
 impl Relay<'_> {
     /// Sends the request to other gateways until one of them answers for its outcome.
     pub(crate) async fn run(&self) -> RelayOutcome {
@@ -93,15 +105,25 @@
         outcome
     }
 
+    fn to_request(&self, remaining: Duration) -> Request<Full<Bytes>> {
+        let instance = &self.shared.settings.instance;
+        let headers = &self.shared.headers;
+        let mut request = self.request.for_relay(instance, remaining, headers);
+        let version = HeaderValue::from(self.shared.table().config().version);
+        request.headers_mut().insert(CONFIG_VERSION, version);
+        request
+    }
+
     async fn send(&self, gateway: SocketAddr) -> Relayed {
         let remaining = || self.deadline.saturating_duration_since(Instant::now());
         let Ok(connection) = BackendConnection::open(gateway, remaining()).await else {
             return Relayed::TryAnother("not_connected", None);
         };
-        let headers = &self.shared.headers;
-        let instance = &self.shared.settings.instance;
-        let request = self.request.for_relay(instance, remaining(), headers);
-        match connection.send(request, &headers.request_id).await {
+        let request = self.to_request(remaining());
+        match connection
+            .send(request, &self.shared.headers.request_id)
+            .await
+        {
             SendOutcome::Answered(answer, _) => {
                 let not_run = answer.status == StatusCode::SERVICE_UNAVAILABLE;
                 let response = Ok(CallerResponse::forwarded(answer, self.request.is_head()));
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -20,7 +20,7 @@
 use crate::forward::ForwardRequest;
 use crate::gateway::Shared;
 use crate::quota::{Limit, OverLimit};
-use crate::relay::{Relay, RelayRecord};
+use crate::relay::{self, Relay, RelayRecord};
 use crate::response::{CallerResponse, Refusal};
 
 /// Time after which a caller may retry when the gateway has no current configuration or no server accepted the
@@ -139,11 +139,15 @@
 async fn serve(
     shared: &Arc<Shared>,
     table: &RoutingTable,
-    parts: Parts,
+    mut parts: Parts,
     body: Incoming,
     started_at: Instant,
     trace: &mut RequestTrace,
 ) -> Result<CallerResponse, RefusalAndRetry> {
+    let required_version = relay::take_config_version(&mut parts.headers);
+    if required_version.is_some_and(|required| required > table.config().version) {
+        return Err((Refusal::NotFresh, Some(RETRY_AFTER)));
+    }
     let resolved = resolve(shared, table, &parts)?;
     let rule = &resolved.rule;
     trace.route = Some(Arc::clone(&rule.name));
--- a/crates/gateway/tests/isolated_gateway.rs
+++ b/crates/gateway/tests/isolated_gateway.rs
@@ -28,6 +28,9 @@
 /// Name of the gateways that reach the servers of `avail`, and know servers of `permits` of which none runs.
 const HALF_SERVED: &str = "gateway-half-served";
 
+/// Name of the gateway whose coordinator lags behind: its configuration has no route for `lookups`.
+const OUTDATED: &str = "gateway-outdated";
+
 /// Requests of each test.
 const REQUESTS: u32 = 20;
 
@@ -67,6 +70,10 @@
             reply.servers.extend(more);
             reply.servers.extend(unused_servers("permits"));
         }
+        if poll.presence.instance.starts_with(OUTDATED) {
+            reply.config_version = 1;
+            reply.config = Some(Arc::new(outdated_config()));
+        }
         let answer = (!poll.report_only).then_some(reply);
         response::Kind::Payload(encode(&answer).unwrap())
     }
@@ -117,9 +124,19 @@
     }
 }
 
+/// Configuration before the route for `lookups` was added.
+fn outdated_config() -> RoutingConfig {
+    let mut config = config();
+    config.version = 1;
+    config.hosts[0]
+        .routes
+        .retain(|rule| &*rule.name != "lookups");
+    config
+}
+
 fn config() -> RoutingConfig {
     RoutingConfig {
-        version: 1,
+        version: 2,
         limits: CallerLimits::default(),
         organisations: Vec::new(),
         hosts: vec![HostRoutes {
@@ -156,7 +173,7 @@
         evidence: Vec::new(),
         suspects: None,
         suspects_position: 0,
-        config_version: 1,
+        config_version: 2,
         config: Some(Arc::new(config())),
         demand: Vec::new(),
         unknown_gateways: 0,
@@ -387,7 +404,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_service_without_servers_isolates_gateways_that_reach_others() {
     let (server, _) = start_server(SocketAddr::from(([127, 0, 0, 1], 0)), true);
-    let (listener, coordinator) = start_coordinator(server, vec![local(10), local(11)]).await;
+    let (listener, coordinator) = start_coordinator(server, vec![local(11)]).await;
     let (first, second) = (format!("{HALF_SERVED}-1"), format!("{HALF_SERVED}-2"));
     let _first = start_gateway(&first, local(10), listener.address()).await;
     let _second = start_gateway(&second, local(11), listener.address()).await;
@@ -404,3 +421,19 @@
     assert_eq!(statuses, vec![Some(200); REQUESTS as usize]);
     assert!(!coordinator.isolation_reported.load(Ordering::Relaxed));
 }
+
+/// Guards against a gateway that uses a new configuration, and answers the next request by an older one because the gateway
+/// to which it relays has not got the new one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relayed_request_is_handled_by_an_older_configuration() {
+    let (server, _) = start_server(SocketAddr::from(([127, 0, 0, 1], 0)), true);
+    let (listener, coordinator) = start_coordinator(server, vec![local(13), local(14)]).await;
+    let _isolated = start_gateway(ISOLATED, local(12), listener.address()).await;
+    let _outdated = start_gateway(OUTDATED, local(13), listener.address()).await;
+    let _relay = start_gateway("gateway-relay", local(14), listener.address()).await;
+    isolate(local(12), &coordinator).await;
+
+    let statuses = send_all(local(12), "lookups").await;
+
+    assert_eq!(statuses, vec![Some(200); REQUESTS as usize]);
+}
