coordinator: Name gateways of all zones when most of a zone are cut off

Callers of a zone get its own gateways as long as three of them reach backend servers, however many are cut off. Of a zone with ten gateways of which six are cut off, the other four got the callers of all ten, while the other zones had ten without a fault. With a hundred gateways in a zone, three would get everything. Class: instances get requests that they cannot carry, here for lack of capacity.

Change: a zone's own gateways are named alone only while at least half of those that are ready reach servers. The small deployments are not affected: with six or fewer gateways in a zone, the minimum of three is as strict.

Test: gateways_left_in_a_zone_get_the_callers_of_those_that_are_cut_off failed before (four addresses instead of 14). Not measured on a large deployment.

--- a/crates/coordinator/src/directory.rs
+++ b/crates/coordinator/src/directory.rs
@@ -6,7 +6,7 @@
 use radishpaddle_model::{GatewayPresence, mix_hash, name_hash};
 
 /// Number of selectable gateways in the caller's availability zone below which callers get the gateways of all
-/// zones.
+/// zones. They also do when fewer than half of the zone's gateways are selectable.
 const MIN_ZONE_GATEWAYS: usize = 3;
 
 /// Returns at most `limit` addresses of gateways for callers in an availability zone. If there are more
@@ -27,8 +27,12 @@
         let ready = ready.iter();
         ready.filter(|gateway| gateway.reaches_servers || !any_reaches_servers)
     };
-    let in_zone = || selectable().filter(|gateway| Some(&*gateway.zone) == zone);
-    let mut addresses: Vec<_> = if in_zone().count() >= MIN_ZONE_GATEWAYS {
+    let is_in_zone = |gateway: &&&GatewayPresence| Some(&*gateway.zone) == zone;
+    let in_zone = || selectable().filter(is_in_zone);
+    let zone_gateways = ready.iter().filter(is_in_zone).count();
+    // A few gateways that are left must not get the callers of all others of their zone.
+    let min_selectable = MIN_ZONE_GATEWAYS.max(zone_gateways.div_ceil(2));
+    let mut addresses: Vec<_> = if in_zone().count() >= min_selectable {
         in_zone().map(|gateway| gateway.address).collect()
     } else {
         selectable().map(|gateway| gateway.address).collect()
--- a/crates/coordinator/tests/board.rs
+++ b/crates/coordinator/tests/board.rs
@@ -155,6 +155,21 @@
     }
 }
 
+/// Guards against the few gateways of a zone that still reach servers, which get the callers of all others of their zone.
+#[test]
+fn gateways_left_in_a_zone_get_the_callers_of_those_that_are_cut_off() {
+    let mut gateways: Vec<_> = (1..=20).map(presence).collect();
+    for gateway in gateways.iter_mut().skip(10) {
+        gateway.zone = "zone-b".into();
+    }
+
+    let half_left = lookup(&cut_off(gateways.clone(), |number| number <= 5));
+    let fewer_left = lookup(&cut_off(gateways, |number| number <= 6));
+
+    assert_eq!(half_left, addresses_of(6..=10));
+    assert_eq!(fewer_left, addresses_of(7..=20));
+}
+
 /// Guards against an empty directory while all backend servers are down: callers would lose even the gateways that
 /// tell them so, and keep no address for the return of the backend servers. Stopping gateways stay out of it.
 #[test]
