gateway: Tell callers that a request whose body was late in a stop was not run

Callers saw (test): a request whose body had not arrived completely when a planned stop ended it got 504, which promises nothing, so a caller may not repeat a booking although no server ever got it.

Cause: the end of the requests in progress does not tell requests whose body is still being read from those at a server. Change: the first end with 503, not run, retry at once.

Test: a_request_whose_body_is_late_in_a_planned_stop_may_have_run failed before with 504; all four tests of the file pass.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -156,7 +156,11 @@
     let timeout = effective_timeout(shared, rule, &parts.headers);
     trace.deadline_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
     let deadline = started_at + timeout;
-    let body = read_body(body, table.config().limits.body_bytes, deadline).await?;
+    let body = tokio::select! {
+        biased;
+        body = read_body(body, table.config().limits.body_bytes, deadline) => body?,
+        () = shared.stop.requests_end() => return Err((Refusal::Stopping, Some(STOPPING_RETRY_AFTER))),
+    };
     if !shared.stop.can_finish(deadline) {
         return Err((Refusal::Stopping, Some(STOPPING_RETRY_AFTER)));
     }
