--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -20,7 +20,7 @@
 use crate::forward::ForwardRequest;
 use crate::gateway::Shared;
 use crate::quota::{Limit, OverLimit};
-use crate::relay::{Relay, RelayRecord};
+use crate::relay::{self, Relay, RelayRecord};
 use crate::response::{CallerResponse, Refusal};
 
 /// Time after which a caller may retry when the gateway has no current configuration or no server accepted the
@@ -139,11 +139,15 @@
 async fn serve(
     shared: &Arc<Shared>,
     table: &RoutingTable,
-    parts: Parts,
+    mut parts: Parts,
     body: Incoming,
     started_at: Instant,
     trace: &mut RequestTrace,
 ) -> Result<CallerResponse, RefusalAndRetry> {
+    let required_version = relay::take_config_version(&mut parts.headers);
+    if required_version.is_some_and(|required| required > table.config().version) {
+        return Err((Refusal::NotFresh, Some(RETRY_AFTER)));
+    }
     let resolved = resolve(shared, table, &parts)?;
     let rule = &resolved.rule;
     trace.route = Some(Arc::clone(&rule.name));
@@ -152,7 +156,11 @@
     let timeout = effective_timeout(shared, rule, &parts.headers);
     trace.deadline_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
     let deadline = started_at + timeout;
-    let body = read_body(body, table.config().limits.body_bytes, deadline).await?;
+    let body = tokio::select! {
+        biased;
+        body = read_body(body, table.config().limits.body_bytes, deadline) => body?,
+        () = shared.stop.requests_end() => return Err((Refusal::Stopping, Some(STOPPING_RETRY_AFTER))),
+    };
     if !shared.stop.can_finish(deadline) {
         return Err((Refusal::Stopping, Some(STOPPING_RETRY_AFTER)));
     }
