Refuse answers with transfer codings other than chunked

Callers of both request paths got a 200 with a body that was short, or still encoded, framed as whole, when a backend server answered with Transfer-Encoding: identity, gzip or the like and closed the connection early. hyper reads such a body until the connection ends, drops the Content-Length beside it, and can't tell a truncated body from a complete one. The entry proxy, which refuses bodies that end with the connection, took any Transfer-Encoding for an explicit length.

Neither path asks for another coding than chunked, so such an answer is now invalid, like one with a Content-Encoding. An answer with Content-Length beside chunked is still read by its chunks, as RFC 9112 has it; each of its prefixes is refused.

--- a/crates/entry/src/backend_connection.rs
+++ b/crates/entry/src/backend_connection.rs
@@ -11,6 +11,7 @@
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use radishpaddle_kernel::http_headers;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout_at};
@@ -175,7 +176,8 @@
     max_answer_bytes: usize,
 ) -> Result<BackendResponse, AttemptFailure> {
     let (parts, mut body) = response.into_parts();
-    if !has_explicit_length(&parts) && !body.is_end_stream() {
+    let has_known_end = has_explicit_length(&parts) || body.is_end_stream();
+    if !has_known_end || http_headers::has_foreign_transfer_coding(&parts.headers) {
         return Err(AttemptFailure::AnswerInvalid);
     }
     let limit = u64::try_from(max_answer_bytes).unwrap_or(u64::MAX);
--- a/crates/gateway/src/backend_connection.rs
+++ b/crates/gateway/src/backend_connection.rs
@@ -13,6 +13,7 @@
 use hyper::header::{CONNECTION, CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use radishpaddle_kernel::http_headers;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
@@ -275,13 +276,16 @@
     }
 }
 
-/// Reads the whole answer; `None` when it is truncated, too large, no final one, or encoded by an intermediary.
+/// Reads the whole answer; `None` when it is truncated, too large, no final one, or encoded.
 async fn read_answer(response: Response<Incoming>) -> Option<BackendAnswer> {
     let (parts, mut body) = response.into_parts();
     // The gateway requests no content encoding, so an encoded body comes from an intermediary.
     if parts.headers.contains_key(CONTENT_ENCODING) {
         return None;
     }
+    if http_headers::has_foreign_transfer_coding(&parts.headers) {
+        return None;
+    }
     // Status 101 ends the exchange without an answer, and the gateway asks for no other protocol.
     if parts.status.is_informational() {
         return None;
--- a/crates/kernel/src/http_headers.rs
+++ b/crates/kernel/src/http_headers.rs
@@ -1,7 +1,7 @@
 //! Removal of headers that a proxy must not forward: hop-by-hop headers (RFC 9110, section 7.6.1), framing
-//! headers and the credentials of the caller.
+//! headers and the credentials of the caller; and a check of the framing of responses.
 
-use hyper::header::{self, HeaderMap, HeaderName};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 
 const NON_FORWARDED_HEADERS: [HeaderName; 11] = [
     header::CONNECTION,
@@ -43,3 +43,16 @@
         headers.insert(header::CONTENT_LENGTH, length);
     }
 }
+
+/// Whether a response has a transfer coding other than a single `chunked`.
+///
+/// No other coding is asked for, so such a body would be passed on still encoded. Without `chunked` at the end, a
+/// truncated body cannot be told from a complete one, even when the response has a length.
+#[must_use]
+pub fn has_foreign_transfer_coding(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let is_chunked = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"chunked");
+    codings
+        .next()
+        .is_some_and(|first| !is_chunked(first) || codings.next().is_some())
+}
