--- a/crates/gateway/tests/isolated_gateway.rs
+++ b/crates/gateway/tests/isolated_gateway.rs
@@ -20,6 +20,7 @@
     GatewayPoll, PROTOCOL_VERSION, PeerHandler, PeerIdentity, PeerSecurity, PeerServer, PollReply,
     ServerIdentity, ServerUpdate, decode, encode,
 };
+use socket2::SockRef;
 use tokio::time::sleep;
 
 /// Name of the gateways that know only servers which refuse connections.
@@ -31,6 +32,9 @@
 /// Time within which a gateway reports that it reaches no server, and learns of the others.
 const DETECTION_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time in which bytes on the loopback interface have arrived: a reset discards what the receiver has not read.
+const ARRIVAL_TIME: Duration = Duration::from_millis(5);
+
 /// Fake coordinator. Isolated gateways get unreachable servers and the relays; the others get the server.
 struct Coordinator {
     server: SocketAddr,
@@ -265,6 +269,40 @@
     (address, requests)
 }
 
+/// Accepts connections, answers each request with one byte more of an answer than the one before, up to the last byte but
+/// one, and closes or resets the connection. Returns the number of requests that it received.
+fn start_dying_gateway(address: SocketAddr, resets: bool) -> Arc<AtomicU32> {
+    let listener = TcpListener::bind(address).unwrap();
+    let requests = Arc::new(AtomicU32::new(0));
+    let counter = Arc::clone(&requests);
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut reader = BufReader::new(stream.try_clone().unwrap());
+            let Some(id) = read_request(&mut reader) else {
+                continue;
+            };
+            let number = counter.fetch_add(1, Ordering::Relaxed) as usize;
+            let answer = relayed_answer(&id);
+            let sent = number % answer.len();
+            stream.write_all(&answer.as_bytes()[..sent]).unwrap();
+            if resets {
+                std::thread::sleep(ARRIVAL_TIME);
+                let socket = SockRef::from(&stream);
+                socket.set_linger(Some(Duration::ZERO)).unwrap();
+            }
+        }
+    });
+    requests
+}
+
+/// Answer of another gateway to a relayed request.
+fn relayed_answer(id: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nX-Server-Seal: 3e1b\r\nX-Request-Id: {id}\r\nContent-Length: 4\r\n\r\nheld"
+    )
+}
+
 /// Sends one request over a new connection and returns the status, or `None` without an answer.
 async fn send(callers: SocketAddr, route: &'static str, id: &str) -> Option<u16> {
     let head = format!(
@@ -361,3 +399,30 @@
 
     assert_eq!(statuses, vec![Some(200); REQUESTS as usize]);
 }
+
+/// Guards against a part of an answer that a caller gets as complete, against a promise that its request was not run, and
+/// against a second run, after the other gateway has died in the middle of the answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_cut_between_two_gateways_counts_as_complete() {
+    for (resets, first) in [(false, 10), (true, 13)] {
+        let (server, _) = start_server(SocketAddr::from(([127, 0, 0, 1], 0)), true);
+        let dying = local(first + 1);
+        let arrivals = start_dying_gateway(dying, resets);
+        let relays = vec![dying, unused_address(9)];
+        let (listener, coordinator) = start_coordinator(server, relays).await;
+        let _isolated = start_gateway(ISOLATED, local(first), listener.address()).await;
+        isolate(local(first), &coordinator).await;
+
+        let before = arrivals.load(Ordering::Relaxed);
+        let mut statuses = Vec::new();
+        let cuts = u32::try_from(relayed_answer("id-100").len()).unwrap();
+        for number in 0..cuts {
+            let id = format!("id-{}", 100 + number);
+            statuses.push(send(local(first), "holds", &id).await);
+        }
+
+        assert_eq!(statuses, vec![Some(502); cuts as usize], "resets {resets}");
+        let sent = arrivals.load(Ordering::Relaxed) - before;
+        assert_eq!(sent, cuts, "resets {resets}");
+    }
+}
