Limit the bytes that servers send before the head of an answer

A request at a server that sends interim responses without end was held until its deadline, and all other requests of the process stood still for up to 12 s in a debug build: hyper skips interim responses without limit and parses what has arrived, up to 128 reads of 400 KB, before it lets another task run.

The stream to a server now fails after 2 MiB without a complete head. The limit applies from the send of a request until its head has arrived, so bodies are not concerned; hyper's own limit of 400 KB counts one head only. The connection is closed and the outcome is unknown, as for other bytes that are no answer.

--- a/crates/entry/src/backend_connection.rs
+++ b/crates/entry/src/backend_connection.rs
@@ -11,7 +11,7 @@
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use radishpaddle_kernel::http_headers;
+use radishpaddle_kernel::{HeadLimit, http_headers};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout_at};
@@ -61,6 +61,7 @@
 pub struct BackendConnection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    head_limit: HeadLimit,
     idle_since: Instant,
     /// Whether the connection has carried an earlier response, of which the server may send a late
     /// copy.
@@ -84,9 +85,12 @@
         let connect = async {
             let stream = TcpStream::connect(address).await.ok()?;
             stream.set_nodelay(true).ok()?;
-            http1::handshake(TokioIo::new(stream)).await.ok()
+            let (head_limit, stream) = HeadLimit::wrap(stream);
+            let handshake = http1::handshake(TokioIo::new(stream)).await;
+            let (sender, connection) = handshake.ok()?;
+            Some((sender, connection, head_limit))
         };
-        let (sender, connection) = timeout_at(deadline, connect)
+        let (sender, connection, head_limit) = timeout_at(deadline, connect)
             .await
             .ok()
             .flatten()
@@ -97,6 +101,7 @@
         Ok(Self {
             sender,
             task: task.abort_handle(),
+            head_limit,
             idle_since: Instant::now(),
             is_reused: false,
         })
@@ -124,12 +129,14 @@
                 None,
             );
         }
+        self.head_limit.apply();
         let sending = self.sender.try_send_request(request);
         let response = match timeout_at(deadline, sending).await {
             Ok(Ok(response)) => response,
             Ok(Err(mut error)) => return (send_failure(error.take_message().is_some()), None),
             Err(_) => return (AttemptOutcome::Unknown(AttemptFailure::TimedOut), None),
         };
+        self.head_limit.lift();
         let echoes_id = match check_request_id(response.headers(), request_id.as_ref()) {
             Ok(echoes_id) if echoes_id || !self.is_reused => echoes_id,
             _ => return (AttemptOutcome::Unknown(AttemptFailure::AnswerInvalid), None),
--- a/crates/gateway/src/backend_connection.rs
+++ b/crates/gateway/src/backend_connection.rs
@@ -13,7 +13,7 @@
 use hyper::header::{CONNECTION, CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use radishpaddle_kernel::http_headers;
+use radishpaddle_kernel::{HeadLimit, http_headers};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
@@ -84,7 +84,14 @@
     idle_since: Instant,
     /// Idle time after which the connection is not reused.
     idle_limit: Duration,
-    answered_ids: Box<AnsweredIds>,
+    answers: Box<AnswerState>,
+}
+
+/// What a connection keeps about its answers.
+#[derive(Debug)]
+struct AnswerState {
+    answered_ids: AnsweredIds,
+    head_limit: HeadLimit,
 }
 
 impl Drop for BackendConnection {
@@ -112,11 +119,14 @@
         let connect = async {
             let stream = TcpStream::connect(address).await.map_err(connect_failure)?;
             stream.set_nodelay(true).map_err(connect_failure)?;
+            let (head_limit, stream) = HeadLimit::wrap(stream);
             let handshake = http1::handshake(TokioIo::new(stream)).await;
-            handshake.map_err(|_| ConnectFailure::Unreachable)
+            let (sender, connection) = handshake.map_err(|_| ConnectFailure::Unreachable)?;
+            Ok((sender, connection, head_limit))
         };
         let connected = timeout(max_wait.min(CONNECT_TIMEOUT), connect).await;
-        let (sender, connection) = connected.unwrap_or(Err(ConnectFailure::Unreachable))?;
+        let (sender, connection, head_limit) =
+            connected.unwrap_or(Err(ConnectFailure::Unreachable))?;
         let task = tokio::spawn(async move {
             // The sender reports the end of the connection as well.
             let _ = connection.await;
@@ -126,7 +136,10 @@
             task: task.abort_handle(),
             idle_since: Instant::now(),
             idle_limit: DEFAULT_IDLE_LIMIT,
-            answered_ids: Box::default(),
+            answers: Box::new(AnswerState {
+                answered_ids: AnsweredIds::default(),
+                head_limit,
+            }),
         })
     }
 
@@ -146,8 +159,8 @@
     /// carried. Callers may send a request again with the same id; one without id needs a new connection.
     #[must_use]
     pub fn can_identify_answer(&self, id: Option<&str>) -> bool {
-        let is_new = |id: &str| !self.answered_ids.contains(id.as_bytes());
-        self.answered_ids.is_empty() || id.is_some_and(is_new)
+        let is_new = |id: &str| !self.answers.answered_ids.contains(id.as_bytes());
+        self.answers.answered_ids.is_empty() || id.is_some_and(is_new)
     }
 
     /// Sends a request and reads the whole answer. There is no timeout here; dropping the future closes the
@@ -164,6 +177,7 @@
         if self.sender.ready().await.is_err() {
             return SendOutcome::NotSent;
         }
+        self.answers.head_limit.apply();
         let response = match self.sender.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => {
@@ -179,8 +193,10 @@
                 return SendOutcome::Unknown(failure);
             }
         };
+        self.answers.head_limit.lift();
         let echo = IdEcho::of(response.headers(), id_header, id.as_ref());
-        if echo == IdEcho::Other || echo == IdEcho::Absent && !self.answered_ids.is_empty() {
+        if echo == IdEcho::Other || echo == IdEcho::Absent && !self.answers.answered_ids.is_empty()
+        {
             return SendOutcome::Unknown(SendFailure::AnswerCrossed);
         }
         match read_answer(response).await {
@@ -188,7 +204,8 @@
                 let stays_open = self.update_keep_alive(&answer.headers);
                 let reusable = stays_open && echo == IdEcho::Own;
                 self.idle_since = Instant::now();
-                self.answered_ids
+                self.answers
+                    .answered_ids
                     .record(id.as_ref().map_or(&[], HeaderValue::as_bytes));
                 SendOutcome::Answered(answer, reusable.then_some(self))
             }
