tests: Let connections between peers hang

No socket sets TCP_USER_TIMEOUT or keep-alive probes, so only the limits of the peer protocol bound a connection that goes silent. A client whose peer stops reading in the middle of a large call waits for the write, sends no other call and opens no new connection, until the kernel gives up after about 15 minutes. A server keeps the connection of a peer that lost power for good; after 2,048 of them it accepts no others.

--- a/crates/wire/tests/peers.rs
+++ b/crates/wire/tests/peers.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use proptest::prelude::{any, proptest};
-use radishpaddle_wire::message::{Empty, Hello, failure, request, response};
+use radishpaddle_wire::message::{Empty, Frame, Hello, Request, failure, frame, request, response};
 use radishpaddle_wire::tls::FLEET_SERVER_NAME;
 use radishpaddle_wire::{
     ClientIdentity, FrameCodec, PROTOCOL_VERSION, PeerClient, PeerHandler, PeerIdentity,
@@ -14,11 +14,20 @@
 };
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
-use tokio_util::codec::Decoder as _;
+use tokio_util::codec::{Decoder as _, Encoder as _};
 
 /// Limit for each call and read.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Size of a call that does not fit into the buffers of a connection.
+const LARGE_BYTES: usize = 4_000_000;
+
+/// Time after which a client must use a new connection in place of one that hangs.
+const MAX_HANG: Duration = Duration::from_secs(10);
+
+/// Time after which a server must have closed a connection without frames.
+const MAX_SILENCE: Duration = Duration::from_secs(120);
+
 /// Returns the payload of `Poll` requests and an empty response to all others.
 struct Echo;
 
@@ -165,6 +174,55 @@
     assert!(result.is_err(), "{result:?}");
 }
 
+/// Guards against a client that waits for the kernel's time-out of about 15 minutes when a peer stops reading in the middle of
+/// a large call, although new connections to it work.
+#[tokio::test(start_paused = true)]
+async fn a_peer_that_stops_reading_blocks_its_client() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = client(listener.local_addr().unwrap(), "test", PeerSecurity::Plain);
+    let large = tokio::spawn({
+        let client = client.clone();
+        async move {
+            let mut results = Vec::new();
+            for _ in 0..6 {
+                let call = request::Kind::Poll(vec![0; LARGE_BYTES]);
+                results.push(client.call(call, Duration::from_millis(500)).await);
+            }
+            results
+        }
+    });
+    let _unread = listener.accept().await.unwrap();
+    assert!(large.await.unwrap().iter().all(Result::is_err));
+
+    let calling = tokio::spawn(async move { echo(&client).await });
+    let reconnected = tokio::time::timeout(MAX_HANG, listener.accept()).await;
+
+    assert!(reconnected.is_ok(), "no new connection");
+    calling.abort();
+}
+
+/// Guards against connections of peers that lost power, which stay open for good until the server accepts no others.
+#[tokio::test(start_paused = true)]
+async fn a_silent_peer_keeps_its_connection_forever() {
+    let server = server(PeerSecurity::Plain).await;
+    let mut stream = TcpStream::connect(server.address()).await.unwrap();
+    let body = frame::Body::Request(Request {
+        kind: Some(request::Kind::Hello(hello("test"))),
+    });
+    let mut hello = bytes::BytesMut::new();
+    let frame = Frame {
+        id: 0,
+        body: Some(body),
+    };
+    FrameCodec::new().encode(frame, &mut hello).unwrap();
+    stream.write_all(&hello).await.unwrap();
+    assert!(stream.read(&mut [0; 256]).await.unwrap() > 0, "no reply");
+
+    let read = tokio::time::timeout(MAX_SILENCE, stream.read(&mut [0; 16])).await;
+
+    assert!(matches!(read, Ok(Ok(0) | Err(_))), "{read:?}");
+}
+
 /// Guards against a failure response that is returned as a successful call.
 #[tokio::test]
 async fn refusal_is_an_error() {
