wire: Limit the time for writing a call

A process could not reach a peer for up to 15 minutes after a connection had gone silent in the middle of a large call: the client waited for the write without limit, sent no other call and opened no new connection, although new ones work. The limit for the time without a frame counted only after the write. A write that took longer than that limit failed then anyway, so the same limit now ends it.

--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -23,7 +23,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Time without any frame from the peer, while calls are pending, after which the connection is
-/// closed. Without this limit, a network path that silently loses packets in one direction would
+/// closed; also the limit for writing one call. Without this limit, a network path that silently loses packets in one direction would
 /// block the calls until the TCP time-out of the kernel.
 const RECEIVE_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -192,9 +192,10 @@
                 last_frame_at = Instant::now();
             }
             pending_calls.insert(next_id, call.reply);
-            let sent = sink.send(request_frame(next_id, call.request)).await;
+            let sending = sink.send(request_frame(next_id, call.request));
+            let sent = timeout(RECEIVE_TIMEOUT, sending).await;
             next_id += 1;
-            if let Err(error) = sent {
+            if let Err(error) = sent.unwrap_or(Err(WireError::Timeout)) {
                 return fail_pending(pending_calls, &error);
             }
         }
