wire: Close connections without frames

A process that runs for long could end up with no peer that reaches it: connections of peers that lost power or were cut off for good stay open, as nothing is written to them, and from 2,048 on each new connection is closed at once. A server now closes a connection after 60 s without a frame. Gateways and coordinators poll many times a second; a client whose connection was idle opens a new one for its next call.

a_silent_peer_keeps_its_connection_forever: before open after 120 s, now passed.

--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -23,8 +23,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Time without any frame from the peer, while calls are pending, after which the connection is
-/// closed; also the limit for writing one call. Without this limit, a network path that silently loses packets in one direction would
-/// block the calls until the TCP time-out of the kernel.
+/// closed; also the limit for writing one call. Without this limit, a network path that silently
+/// loses packets in one direction would block the calls until the TCP time-out of the kernel.
 const RECEIVE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Calls per peer that may be queued for the connection. Further calls fail immediately.
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -23,6 +23,11 @@
 /// Limit for the TLS handshake and the exchange of `Hello` on an accepted connection.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time without a frame from the peer after which its connection is closed. The connection of a peer
+/// that lost power would otherwise count towards [`MAX_CONNECTIONS`] for good. Clients open a new
+/// connection for the next call.
+const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
+
 /// Limit of open connections. Further accepted connections are closed immediately.
 const MAX_CONNECTIONS: usize = 2048;
 
@@ -167,7 +172,7 @@
         Ok::<_, WireError>(())
     };
     let read = async move {
-        while let Some(frame) = requests.next().await {
+        while let Ok(Some(frame)) = timeout(IDLE_TIMEOUT, requests.next()).await {
             let frame = frame?;
             let Ok(permit) = Arc::clone(&request_permits).acquire_owned().await else {
                 return Ok(());
--- a/crates/wire/tests/peers.rs
+++ b/crates/wire/tests/peers.rs
@@ -26,7 +26,7 @@
 const MAX_HANG: Duration = Duration::from_secs(10);
 
 /// Time after which a server must have closed a connection without frames.
-const MAX_SILENCE: Duration = Duration::from_secs(120);
+const MAX_SILENCE: Duration = Duration::from_mins(2);
 
 /// Returns the payload of `Poll` requests and an empty response to all others.
 struct Echo;
