gateway: Bound the memory of all request bodies that are held

Seen (test): 14 callers that each send 50 MB of a body, within the 64 MiB that the configuration permits, take the gateway to 734 MB, above the 624 MB of the smallest machines, where it is killed with all requests in progress. Class: an instance takes requests that it cannot carry to their end, here for lack of memory.

Change: bodies of requests may take 128 MiB together, counted until the request ends. A request beyond it is refused as not run after the rest of its body was read and dropped, so that its caller sees the refusal.

Test: bodies_of_several_callers_exceed_the_memory_of_a_gateway failed before with 734 MB; now the peak is below the limit, some requests are served, and all others get 503.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,9 +1,11 @@
 //! Serves one request of a caller: authorisation, rate limit, routing and forwarding.
 
+use std::error::Error;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::Request;
 use hyper::body::Incoming;
@@ -40,6 +42,31 @@
 /// Time subtracted from the caller's deadline for the transfer of the answer to the caller.
 const ANSWER_TRANSFER_TIME: Duration = Duration::from_millis(8);
 
+/// Maximum size of all request bodies together that are held in memory. A few callers may send bodies of the maximum size
+/// at the same time, and the memory of an instance is a few hundred megabytes.
+const MAX_HELD_BYTES: usize = 128 << 20;
+
+/// Size of all request bodies that this process holds.
+static HELD_BYTES: AtomicUsize = AtomicUsize::new(0);
+
+/// Part of [`HELD_BYTES`] that belongs to one request.
+#[derive(Default)]
+struct HeldBytes(usize);
+
+impl HeldBytes {
+    /// Adds received bytes. Returns whether all bodies are still within their maximum.
+    fn add(&mut self, count: usize) -> bool {
+        self.0 += count;
+        HELD_BYTES.fetch_add(count, Ordering::Relaxed) + count <= MAX_HELD_BYTES
+    }
+}
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        HELD_BYTES.fetch_sub(self.0, Ordering::Relaxed);
+    }
+}
+
 /// Route and authorised organisation of a request.
 struct Resolved {
     rule: Arc<RoutingRule>,
@@ -156,9 +183,10 @@
     let timeout = effective_timeout(shared, rule, &parts.headers);
     trace.deadline_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
     let deadline = started_at + timeout;
-    let body = tokio::select! {
+    let body_limit = table.config().limits.body_bytes;
+    let (body, _held) = tokio::select! {
         biased;
-        body = read_body(body, table.config().limits.body_bytes, deadline) => body?,
+        body = read_body(body, body_limit, deadline) => body?,
         () = shared.stop.requests_end() => return Err((Refusal::Stopping, Some(STOPPING_RETRY_AFTER))),
     };
     if !shared.stop.can_finish(deadline) {
@@ -308,15 +336,36 @@
     body: Incoming,
     limit_bytes: usize,
     deadline: Instant,
-) -> Result<Bytes, RefusalAndRetry> {
-    match timeout_at(deadline, Limited::new(body, limit_bytes).collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+) -> Result<(Bytes, HeldBytes), RefusalAndRetry> {
+    match timeout_at(deadline, collect(Limited::new(body, limit_bytes))).await {
+        Ok(Ok(Some(collected))) => Ok(collected),
+        Ok(Ok(None)) => Err((Refusal::NotRun, Some(RETRY_AFTER))),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err((Refusal::TooLarge, None)),
         Ok(Err(_)) => Err((Refusal::BadRequest, None)),
         Err(_) => Err((Refusal::ExpiredNotRun, None)),
     }
 }
 
+/// Reads a body into memory; `None` when the maximum of all bodies is exceeded. The rest of the body is then read and
+/// dropped: a connection that closes with unread bytes is reset, and its caller may not see the refusal.
+async fn collect(
+    mut body: Limited<Incoming>,
+) -> Result<Option<(Bytes, HeldBytes)>, Box<dyn Error + Send + Sync>> {
+    let mut collected = Some((BytesMut::new(), HeldBytes::default()));
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        collected = collected.and_then(|(mut bytes, mut held)| {
+            held.add(data.len()).then(|| {
+                bytes.extend_from_slice(&data);
+                (bytes, held)
+            })
+        });
+    }
+    Ok(collected.map(|(bytes, held)| (bytes.freeze(), held)))
+}
+
 /// Selects a service in proportion to the weights; `random` is from 0 (inclusive) to 1 (exclusive).
 fn choose_service(parts: &[RoutePart], random: f64) -> Arc<str> {
     let total: f64 = parts.iter().map(|part| part.weight).sum();
