control: Answer the submissions in progress at a planned stop

Cause: the operator API was dropped at the stop signal without waiting, and its threads went on for as long as the process lived, 1 s at most, while a submission takes 8 s at most. The replica ended before the threads that still served operators.

What operators saw: submissions that waited for one of the 16 threads were refused with 4008 (storage_failed), which is not true, or would be cut; those that waited to be in force got 1003 early, when the distribution task ended.

Now new requests are refused with 4004 (stopping) as soon as the stop begins, those in progress are answered, and then the replica stops. The stop deadline still bounds the wait.

--- a/crates/control/src/operator_api.rs
+++ b/crates/control/src/operator_api.rs
@@ -3,7 +3,7 @@
 use std::io::Read as _;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::mpsc;
+use std::thread;
 use std::time::Duration;
 
 use anyhow::{Result, anyhow};
@@ -18,7 +18,9 @@
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 use tokio::runtime::Handle;
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
+use tokio::time::{Instant, timeout_at};
+use tokio_util::sync::CancellationToken;
 
 use crate::control_state::{ControlState, LogCommand};
 use crate::diff;
@@ -32,6 +34,9 @@
 /// Maximum size of a request body, in bytes. Below the size limit of a log entry.
 const MAX_BODY_BYTES: u64 = 200 << 10;
 
+/// Period in which the server checks whether it has to stop.
+const STOP_POLL_PERIOD: Duration = Duration::from_millis(50);
+
 /// Timeout of a commit or a linearizable read.
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -55,10 +60,12 @@
     pub runtime: Handle,
 }
 
-/// Handle to the HTTP server of the operator API. Dropping it stops the server.
+/// Handle to the HTTP server of the operator API. Dropping it stops the server without waiting.
 pub struct OperatorServer {
     address: SocketAddr,
-    stop: mpsc::Sender<()>,
+    stopping: CancellationToken,
+    /// Resolves when the server has answered every request.
+    ended: oneshot::Receiver<()>,
 }
 
 /// Response to a request; an error holds the response that refuses it.
@@ -71,12 +78,41 @@
     ///
     /// Fails when the address cannot be bound.
     pub fn bind(address: SocketAddr, api: OperatorApi) -> Result<Self> {
-        let server = Server::new(address, move |request| api.handle(request))
+        let stopping = CancellationToken::new();
+        let api_stopping = stopping.clone();
+        let handle = move |request: &Request| {
+            if api_stopping.is_cancelled() {
+                return error_response(ResultCode::NotLeader, "this instance is stopping");
+            }
+            api.handle(request)
+        };
+        let server = Server::new(address, handle)
             .map_err(|error| anyhow!("operator address {address}: {error}"))?
             .pool_size(SERVER_THREADS);
         let address = server.server_addr();
-        let (_thread, stop) = server.stoppable();
-        Ok(Self { address, stop })
+        let (end, ended) = oneshot::channel();
+        let server_stopping = stopping.clone();
+        thread::spawn(move || {
+            while !server_stopping.is_cancelled() {
+                server.poll_timeout(STOP_POLL_PERIOD);
+            }
+            server.join();
+            let _ = end.send(());
+        });
+        Ok(Self {
+            address,
+            stopping,
+            ended,
+        })
+    }
+
+    /// Stops the server. Requests in progress are answered, until `deadline` at the latest; new ones
+    /// are refused.
+    pub async fn stop(mut self, deadline: Instant) {
+        self.stopping.cancel();
+        if timeout_at(deadline, &mut self.ended).await.is_err() {
+            log::warn!("control: the stop deadline has passed with operator requests in progress");
+        }
     }
 
     /// Returns the bound address, with the port chosen by the operating system if the port was 0.
@@ -88,7 +124,7 @@
 
 impl Drop for OperatorServer {
     fn drop(&mut self) {
-        let _ = self.stop.send(());
+        self.stopping.cancel();
     }
 }
 
--- a/crates/control/src/plugins.rs
+++ b/crates/control/src/plugins.rs
@@ -118,6 +118,6 @@
         };
         let server = OperatorServer::bind(settings.operator_listen, api)?;
         log::info!("control: operator API listening on {}", server.address());
-        Ok(PluginHandle::from_drop_guard(server))
+        Ok(PluginHandle::new(|deadline| server.stop(deadline)))
     })
 }
--- a/crates/e2e/tests/planned_stop.rs
+++ b/crates/e2e/tests/planned_stop.rs
@@ -3,11 +3,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use radishpaddle_e2e::control_client::{self, ControlResponse};
 use radishpaddle_e2e::fleet::Node;
 use radishpaddle_e2e::operator::admin_page;
+use radishpaddle_e2e::plan::service_document;
 use radishpaddle_e2e::scenario::{action, eventually, is_success, lookup, resend_of};
 use radishpaddle_e2e::{FleetPlan, Scenario};
 use radishpaddle_entry::settings::TimingSettings;
+use radishpaddle_model::{ResultCode, ServiceDocument};
 use radishpaddle_testkit::backend::FaultPlan;
 use radishpaddle_testkit::caller::{
     ADDRESSES_PATH, AttemptResult, Caller, Operation, parse_addresses,
@@ -28,6 +31,9 @@
 /// Time within which every instance has learned of a stop: two polls and their replies.
 const LEAVING_IS_KNOWN: Duration = Duration::from_secs(2);
 
+/// Number of concurrent submissions, above the number that a control instance serves at a time.
+const SUBMISSIONS: usize = 24;
+
 async fn start_scenario() -> Scenario {
     let plan = FleetPlan {
         timing: TimingSettings {
@@ -234,3 +240,46 @@
     unlisted.await.unwrap();
     scenario.assert_guarantees();
 }
+
+/// Guards against submissions whose operators get no answer because their control instance stops: some are committed
+/// and wait until they are in force, and more of them wait for a free thread than the instance serves at a time.
+#[tokio::test(flavor = "multi_thread")]
+async fn submissions_in_progress_are_cut_by_a_planned_stop_of_control() {
+    let mut scenario = start_scenario().await;
+    let control = scenario.fleet.operator_address(0);
+    // Changes are committed, but no witness stores them.
+    for entry in 0..scenario.fleet.plan().entries {
+        scenario
+            .fleet
+            .stall_one_way(Node::Control(0), Node::Entry(entry));
+    }
+    let mut submissions = tokio::task::JoinSet::new();
+    for number in 0..SUBMISSIONS {
+        let document = document_of_other_service(number);
+        let submission = format!("during-the-stop-{number}");
+        submissions.spawn_blocking(move || control_client::put(control, &document, &submission, 0));
+    }
+    tokio::time::sleep(AT_ONCE).await;
+
+    let process = scenario.fleet.process(Node::Control(0));
+    process.terminate().unwrap();
+
+    let responses = submissions.join_all().await;
+    let refused = ResultCode::NotLeader.number();
+    let is_final = |response: &anyhow::Result<ControlResponse>| {
+        let response = response.as_ref();
+        response.is_ok_and(|response| response.is_committed() || response.code == refused)
+    };
+    let cut: Vec<_> = responses.iter().filter(|told| !is_final(told)).collect();
+    assert!(cut.is_empty(), "{} of {SUBMISSIONS}: {cut:?}", cut.len());
+    let process = scenario.fleet.process(Node::Control(0));
+    let status = process.wait_for_exit(STOP_DEADLINE).unwrap();
+    assert!(status.success(), "{status}");
+}
+
+fn document_of_other_service(number: usize) -> ServiceDocument {
+    let mut document = service_document(10.0, 10).unwrap();
+    document.service = format!("other-{number}").parse().unwrap();
+    document.hosts = vec![format!("other-{number}.example").into()];
+    document
+}
--- a/crates/model/src/result_code.rs
+++ b/crates/model/src/result_code.rs
@@ -125,7 +125,7 @@
     RevisionConflict = 4002, 409, NotRun, "revision_conflict";
     /// The document or the submission is not valid.
     DocumentInvalid = 4003, 422, NotRun, "document_invalid";
-    /// This control instance is not the leader.
+    /// This control instance is not the leader or cannot take the submission now.
     NotLeader = 4004, 503, NotRun, "not_leader";
     /// No resource has the given name.
     NotFound = 4005, 404, NotRun, "not_found";
