--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod matrix;
 mod matrix_changes;
+pub mod matrix_reports;
 mod matrix_requests;
 pub mod observer;
 pub mod operator;
--- a/crates/e2e/src/matrix.rs
+++ b/crates/e2e/src/matrix.rs
@@ -5,6 +5,7 @@
 use std::fmt::Write as _;
 
 use crate::matrix_changes::CHANGE_ROWS;
+use crate::matrix_reports::{REPORT_ROWS, ReportRow};
 use crate::matrix_requests::REQUEST_ROWS;
 
 /// Selects the table of the page in which a row appears and the steps that the row has.
@@ -155,9 +156,28 @@
             }
         }
     }
+    page.push_str(
+        "\n## Reports of other operators\n\n| Report | Path | Where it could act | Tests, or reason |\n|---|---|---|---|\n",
+    );
+    for row in REPORT_ROWS {
+        write_report(&mut page, row);
+    }
     page
 }
 
+fn write_report(page: &mut String, row: &ReportRow) {
+    let (report, path, place) = (row.report, row.path.name(), row.place);
+    let mut parts: Vec<_> = row.tests.iter().map(|test| format!("`{test}`")).collect();
+    if !row.reason.is_empty() {
+        parts.push(row.reason.to_owned());
+    }
+    let _ = writeln!(
+        page,
+        "| {report} | {path} | {place} | {} |",
+        parts.join("; ")
+    );
+}
+
 fn write_cell(page: &mut String, row: &Row, step: Step) {
     let (fault, name, guarantees) = (row.fault, step.name(), row.guarantees);
     let _ = match row.test(step) {
--- a/crates/e2e/tests/matrix_page.rs
+++ b/crates/e2e/tests/matrix_page.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 
 use radishpaddle_e2e::matrix::{render_page, rows};
+use radishpaddle_e2e::matrix_reports::{REPORT_ROWS, ReportPath};
 
 /// Returns the `file::test` names of all asynchronous tests in this directory.
 fn existing_tests() -> BTreeSet<String> {
@@ -38,7 +39,11 @@
 #[test]
 fn cells_name_the_tests_that_exist() {
     let named = rows().flat_map(|row| row.covered);
-    let named: BTreeSet<String> = named.map(|(_, test)| (*test).to_owned()).collect();
+    let reported = REPORT_ROWS.iter().flat_map(|row| row.tests);
+    let reported = reported.filter_map(|test| test.strip_prefix("crates/e2e/tests/"));
+    let reported = reported.map(|test| test.replace(".rs::", "::"));
+    let named = named.map(|(_, test)| (*test).to_owned());
+    let named: BTreeSet<String> = named.chain(reported).collect();
 
     assert_eq!(named, existing_tests());
 }
@@ -60,3 +65,23 @@
         );
     }
 }
+
+/// Guards against a report without test and reason on one of the paths, and against a test that does not exist.
+#[test]
+fn every_report_has_a_test_or_a_reason_on_each_path() {
+    let reports: BTreeSet<_> = REPORT_ROWS.iter().map(|row| row.report).collect();
+    for report in reports {
+        for path in [ReportPath::Gateway, ReportPath::Entry] {
+            let mut rows = REPORT_ROWS.iter();
+            let row = rows.find(|row| row.report == report && row.path == path);
+            let is_covered = row.is_some_and(|row| !row.tests.is_empty() || !row.reason.is_empty());
+            assert!(is_covered, "{report}: {path:?}");
+        }
+    }
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    for test in REPORT_ROWS.iter().flat_map(|row| row.tests) {
+        let (file, name) = test.split_once("::").unwrap();
+        let text = std::fs::read_to_string(root.join(file)).unwrap_or_default();
+        assert!(text.contains(&format!("fn {name}(")), "{test}");
+    }
+}
