--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -24,8 +24,9 @@
 };
 pub use key::{KeyHash, OrganisationKey};
 pub use presence::{
-    GatewayPresence, OrganisationDemand, RequestCrash, Retirement, ServerEvidence, ServerPresence,
-    SuspectRequest, mix_hash, name_hash, short_name_key,
+    GatewayPresence, InvalidServerIncarnation, OrganisationDemand, RequestCrash, Retirement,
+    ServerEvidence, ServerIncarnation, ServerPresence, SuspectRequest, mix_hash, name_hash,
+    short_name_key,
 };
 pub use result_code::{Outcome, Refusal, ResultCode};
 pub use routing::{
--- a/crates/model/src/presence.rs
+++ b/crates/model/src/presence.rs
@@ -1,6 +1,8 @@
 //! State that backend servers and gateways report to coordinators.
 
+use std::fmt;
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -48,6 +50,49 @@
     }
 }
 
+/// One run of a backend server process. The text form is the start time and the name, separated by a slash.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct ServerIncarnation {
+    /// Name of the backend server; may stay the same across restarts.
+    pub name: Arc<str>,
+    /// Start time in Unix milliseconds.
+    pub started_at_ms: u64,
+}
+
+impl fmt::Display for ServerIncarnation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}/{}", self.started_at_ms, self.name)
+    }
+}
+
+impl FromStr for ServerIncarnation {
+    type Err = InvalidServerIncarnation;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (started_at_ms, name) = text.split_once('/').ok_or(InvalidServerIncarnation)?;
+        if name.is_empty() {
+            return Err(InvalidServerIncarnation);
+        }
+        let started_at_ms = started_at_ms.parse();
+        Ok(Self {
+            name: name.into(),
+            started_at_ms: started_at_ms.map_err(|_| InvalidServerIncarnation)?,
+        })
+    }
+}
+
+/// The text is not a start time and the name of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct InvalidServerIncarnation;
+
+impl fmt::Display for InvalidServerIncarnation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("not a start time and the name of a backend server")
+    }
+}
+
+impl std::error::Error for InvalidServerIncarnation {}
+
 /// Acknowledged drain or departure of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
