--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,15 +8,18 @@
 use radishpaddle_kernel::boot_clock;
 use radishpaddle_model::{Fingerprint, RoutingRule};
 use radishpaddle_policy::hedge::HedgeQuery;
-use serde::Serialize;
 use tokio::time::{Instant, sleep, timeout_at};
 
+use crate::attempt_record::AttemptRecord;
 use crate::backend_connection::{
     BackendAnswer, BackendConnection, ConnectFailure, SendFailure, SendOutcome,
 };
 use crate::crash_watch::ObservedCrash;
 use crate::forward::ForwardRequest;
 use crate::gateway::Shared;
+use crate::next_step::{
+    AttemptEnd, NextStep, not_sent, preferred_outcome, refused_without_running,
+};
 use crate::pool::ChosenServer;
 use crate::relay::{Relay, RelayOutcome, RelayRecord};
 use crate::response::{CallerResponse, Refusal};
@@ -29,48 +32,6 @@
 /// Remaining time below which no further attempt is made.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(15);
 
-/// Entry of one attempt in the decision log.
-#[derive(Debug, Clone)]
-#[derive(Serialize)]
-pub struct AttemptRecord {
-    /// Name of the backend server.
-    pub server: Arc<str>,
-    /// Estimated probability of failure when the server was selected.
-    pub failure_probability: f64,
-    /// Requests in flight at the server from all gateways when it was selected.
-    pub in_flight: u32,
-    /// Whether an idle connection was reused.
-    pub reused: bool,
-    /// Result label, as in the metric of attempts.
-    pub result: &'static str,
-    /// Duration of the attempt in milliseconds.
-    pub elapsed_ms: u64,
-}
-
-impl AttemptRecord {
-    /// Creates the entry of an attempt that has not ended.
-    fn new(chosen: &ChosenServer) -> Self {
-        Self {
-            server: Arc::clone(&chosen.id),
-            failure_probability: (chosen.failure_probability * 1000.0).round() / 1000.0,
-            in_flight: chosen.in_flight,
-            reused: chosen.connection.is_some(),
-            result: "",
-            elapsed_ms: 0,
-        }
-    }
-
-    fn end(&mut self, result: &'static str, started_at: Instant) {
-        self.result = result;
-        self.elapsed_ms = u64::try_from(started_at.elapsed().as_millis()).unwrap_or(u64::MAX);
-    }
-
-    /// Ends the entry of a copy that another copy of the request has overtaken.
-    fn cancel(&mut self, started_at: Instant) {
-        self.end("overtaken", started_at);
-    }
-}
-
 /// Outcome of a request after all attempts.
 pub struct RequestOutcome {
     /// Answer of a backend server, or the refusal for the caller.
@@ -119,54 +80,6 @@
     }
 }
 
-/// Next step after an attempt.
-enum NextStep {
-    /// The request ends with this outcome.
-    Finish(Result<CallerResponse, Refusal>),
-    /// Another server may be tried.
-    TryAnother {
-        /// Outcome of the request if no further attempt is made.
-        fallback: Result<CallerResponse, Refusal>,
-        /// Whether the request arrived at the server, so that the next attempt counts as a retry.
-        arrived: bool,
-        /// Whether the server may have run it.
-        may_have_run: bool,
-    },
-}
-
-impl NextStep {
-    /// Next step after two copies of a request of which neither was answered with success; `newer` ended later.
-    fn followed_by(self, newer: Self) -> Self {
-        match (self, newer) {
-            (Self::Finish(before), Self::Finish(newer)) => {
-                Self::Finish(preferred_outcome(before, newer))
-            }
-            (Self::Finish(before), Self::TryAnother { fallback, .. }) => {
-                Self::Finish(preferred_outcome(before, fallback))
-            }
-            (Self::TryAnother { fallback, .. }, Self::Finish(newer)) => {
-                Self::Finish(preferred_outcome(fallback, newer))
-            }
-            (
-                Self::TryAnother {
-                    fallback: before,
-                    arrived,
-                    may_have_run,
-                },
-                Self::TryAnother {
-                    fallback: newer,
-                    arrived: newer_arrived,
-                    may_have_run: newer_may_have_run,
-                },
-            ) => Self::TryAnother {
-                fallback: preferred_outcome(before, newer),
-                arrived: arrived || newer_arrived,
-                may_have_run: may_have_run || newer_may_have_run,
-            },
-        }
-    }
-}
-
 /// Next step after one copy of the request, and its log entry.
 type CopyEnd = (NextStep, AttemptRecord);
 
@@ -538,42 +451,3 @@
         (next, result, label, None)
     }
 }
-
-/// Outcome of a request from the outcomes before and after its newest attempt. An answer takes precedence over
-/// a refusal, and once an attempt may have run the request, no refusal may state that it was not run.
-fn preferred_outcome(
-    before: Result<CallerResponse, Refusal>,
-    newer: Result<CallerResponse, Refusal>,
-) -> Result<CallerResponse, Refusal> {
-    match (&before, &newer) {
-        (Ok(_) | Err(Refusal::OutcomeUnknown), Err(_)) => before,
-        _ => newer,
-    }
-}
-
-/// Next step, result for the server's state, result label, and the connection if it can be reused.
-type AttemptEnd = (
-    NextStep,
-    AttemptResult,
-    &'static str,
-    Option<BackendConnection>,
-);
-
-/// End of an attempt whose request did not leave this process.
-fn not_sent(label: &'static str, result: AttemptResult) -> AttemptEnd {
-    let next = NextStep::TryAnother {
-        fallback: Err(Refusal::NotRun),
-        arrived: false,
-        may_have_run: false,
-    };
-    (next, result, label, None)
-}
-
-/// Next step after a server refused the request without running it.
-const fn refused_without_running() -> NextStep {
-    NextStep::TryAnother {
-        fallback: Err(Refusal::NotRun),
-        arrived: true,
-        may_have_run: false,
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answered_ids;
 pub mod attempt;
+pub mod attempt_record;
 pub mod backend_connection;
 pub mod callers;
 pub mod crash_watch;
@@ -13,6 +14,8 @@
 pub mod gateway;
 pub mod health;
 pub mod metrics;
+mod next_step;
+mod outcomes;
 pub mod path_check;
 pub mod poll_task;
 pub mod pool;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -12,6 +12,7 @@
 use rand::{Rng as _, SeedableRng as _};
 
 use crate::backend_connection::BackendConnection;
+use crate::outcomes::Outcomes;
 use crate::retry_budget::RetryBudget;
 use crate::selection::{self, Candidate, FailureImpact};
 use crate::server::{AttemptResult, Server};
@@ -29,9 +30,6 @@
 /// Share of unserved requests above which a service is degraded.
 const DEGRADED_UNSERVED_SHARE: f64 = 0.05;
 
-/// Time constant of the moving average of the outcomes of a service.
-const OUTCOMES_DECAY_TIME: Duration = Duration::from_secs(2);
-
 /// Time after the last idempotent request of a service at this gateway from which the service counts as having
 /// none that could serve as probes.
 const IDEMPOTENT_TRAFFIC_TIMEOUT: Duration = Duration::from_secs(3);
@@ -84,35 +82,6 @@
     rng: SmallRng,
 }
 
-/// Exponentially decayed counts of served and unserved requests of a service.
-#[derive(Debug, Clone, Copy, Default)]
-struct Outcomes {
-    served: f64,
-    unserved: f64,
-    updated_at: Duration,
-}
-
-impl Outcomes {
-    fn record(&mut self, served: f64, unserved: f64, now: Duration) {
-        let decay = self.decay(now);
-        self.served = self.served * decay + served;
-        self.unserved = self.unserved * decay + unserved;
-        self.updated_at = now;
-    }
-
-    fn unserved_share(&self, now: Duration) -> f64 {
-        let decay = self.decay(now);
-        let unserved = self.unserved * decay;
-        unserved / (unserved + self.served * decay).max(1.0)
-    }
-
-    /// Factor by which the counts have decayed since the last update.
-    fn decay(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.updated_at).as_secs_f64();
-        (-age / OUTCOMES_DECAY_TIME.as_secs_f64()).exp()
-    }
-}
-
 impl Pools {
     /// Creates pools without backend servers; `zone` is the availability zone of this gateway.
     #[must_use]
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -16,7 +16,8 @@
 use serde_json::json;
 use tokio::time::{Instant, timeout_at};
 
-use crate::attempt::{AttemptRecord, RequestPlan};
+use crate::attempt::RequestPlan;
+use crate::attempt_record::AttemptRecord;
 use crate::forward::ForwardRequest;
 use crate::gateway::Shared;
 use crate::quota::{Limit, OverLimit};
