policy: A pause covers the earlier incarnations of its server

`IntakeTable::refusal` matched the exact start only; now it covers all starts up to the newest one that answered.

Test: a_pause_covers_earlier_incarnations, [false, true, false] before and [true, true, false] now.

--- a/crates/policy/src/intake_table.rs
+++ b/crates/policy/src/intake_table.rs
@@ -51,24 +51,21 @@
         self.intake = Intake::default();
     }
 
+    /// Why an incarnation gets no new requests. Requests for an earlier one than the newest would reach the newest.
     fn refusal(&self, started_at_ms: u64, now: Duration) -> Option<NoNewRequests> {
-        if started_at_ms == self.started_at_ms {
-            return self.intake.refusal(now);
+        let has_left = self.left_before.is_some_and(|left| started_at_ms <= left);
+        if has_left {
+            return Some(NoNewRequests::Leaving);
         }
-        let newest_left = if self.intake.is_leaving() {
-            Some(self.started_at_ms)
-        } else {
-            self.left_before
-        };
-        let has_left = newest_left.is_some_and(|newest| started_at_ms <= newest);
-        has_left.then_some(NoNewRequests::Leaving)
+        let is_covered = started_at_ms <= self.started_at_ms;
+        self.intake.refusal(now).filter(|_| is_covered)
     }
 }
 
 impl IntakeTable {
     /// Records that a server is leaving. Returns whether that is new.
     pub fn record_leaving(&mut self, server: &ServerIncarnation, now: Duration) -> bool {
-        if self.refusal(&server.name, server.started_at_ms, now) == Some(NoNewRequests::Leaving) {
+        if self.is_leaving(&server.name, server.started_at_ms) {
             return false;
         }
         let entry = self.entry(server, now);
@@ -105,6 +102,14 @@
         self.entries.get(name)?.refusal(started_at_ms, now)
     }
 
+    /// Whether an incarnation of a server is leaving.
+    #[must_use]
+    pub fn is_leaving(&self, name: &str, started_at_ms: u64) -> bool {
+        // Leaving does not depend on the time.
+        let refusal = self.refusal(name, started_at_ms, Duration::ZERO);
+        refusal == Some(NoNewRequests::Leaving)
+    }
+
     /// Whether a pause of the server has ended and [`take_ended_pause`](Self::take_ended_pause) was not called since.
     #[must_use]
     pub fn has_ended_pause(&self, name: &str, started_at_ms: u64, now: Duration) -> bool {
--- a/crates/policy/tests/intake.rs
+++ b/crates/policy/tests/intake.rs
@@ -174,6 +174,18 @@
     assert!(!is_paused(&table, "b", 11, NOW));
 }
 
+/// Guards against a coordinator that fell behind and announces the start before the one that asked for a pause, at the same
+/// address: its requests would reach the paused server.
+#[test]
+fn a_pause_covers_earlier_incarnations() {
+    let mut table = IntakeTable::default();
+
+    table.record_pause(&server("a", 11), pause("5"), 0.0, NOW);
+
+    let paused = [10, 11, 12].map(|start| is_paused(&table, "a", start, NOW));
+    assert_eq!(paused, [true, true, false]);
+}
+
 /// Guards against an old answer that arrives late and stops the new incarnation, or is forgotten.
 #[test]
 fn a_late_answer_concerns_its_own_incarnation() {
