--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,8 +8,7 @@
 use anyhow::Result;
 use radishpaddle_kernel::{DecisionLog, LogSampling, boot_clock};
 use radishpaddle_model::{
-    Fingerprint, OrganisationDemand, RequestCrash, RoutingConfig, RoutingRule, RoutingTable,
-    ServerIncarnation, SuspectRequest,
+    OrganisationDemand, RoutingConfig, RoutingRule, RoutingTable, ServerIncarnation,
 };
 use radishpaddle_policy::hedge::{HedgeClass, HedgeQuery};
 use radishpaddle_policy::reachability::{Reachability, ReachabilityChange};
@@ -18,9 +17,9 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, timeout_at};
 
-use crate::backend_connection::{BackendConnection, CONNECT_TIMEOUT, ConnectFailure};
+use crate::backend_connection::BackendConnection;
 use crate::callers::CallerListener;
-use crate::crash_watch::{CRASH_CHECK_DELAY, CrashWatch, ObservedCrash};
+use crate::crash_watch::CrashWatch;
 use crate::forward::Headers;
 use crate::left_out::NoServer;
 use crate::metrics::GatewayMetrics;
@@ -274,6 +273,10 @@
         Ok(chosen)
     }
 
+    pub(crate) fn crash_watch(&self) -> MutexGuard<'_, CrashWatch> {
+        lock(&self.crash_watch)
+    }
+
     pub(crate) fn pools(&self) -> MutexGuard<'_, Pools> {
         lock(&self.pools)
     }
@@ -391,73 +394,6 @@
         lock(&self.pools).take_evidence(boot_clock::now())
     }
 
-    /// Whether a request is quarantined because it crashes backend servers. The fingerprint is computed only when there
-    /// are suspect requests.
-    pub(crate) fn is_quarantined(&self, fingerprint: impl FnOnce() -> Fingerprint) -> bool {
-        let watch = lock(&self.crash_watch);
-        watch.has_suspects() && watch.is_quarantined(&fingerprint())
-    }
-
-    /// Records that a backend server answered the request, in case the request is suspect.
-    pub(crate) fn record_answer(&self, fingerprint: impl FnOnce() -> Fingerprint) {
-        let mut watch = lock(&self.crash_watch);
-        if watch.has_suspects() {
-            watch.record_answer(fingerprint());
-        }
-    }
-
-    /// Checks whether a server that closed a connection with a request in flight still accepts connections. If it refuses
-    /// them, the request counts as in flight at a crash. A server that only resets connections for a while accepts new
-    /// ones, and with an interrupted network path there is no answer. The end of a server that is leaving is no crash.
-    pub(crate) async fn check_crash(
-        &self,
-        (server, address): (ServerIncarnation, SocketAddr),
-        request_id: Option<String>,
-        crash: ObservedCrash,
-    ) {
-        tokio::time::sleep(CRASH_CHECK_DELAY).await;
-        if self.is_leaving(&server) {
-            return;
-        }
-        match BackendConnection::open(address, CONNECT_TIMEOUT).await {
-            Ok(connection) => {
-                self.record_connected();
-                return self.store_idle(&server, connection);
-            }
-            Err(ConnectFailure::Unreachable) => return self.record_connect_failure(&server.name),
-            Err(ConnectFailure::Refused) => self.record_connect_failure(&server.name),
-        }
-        self.log.record("request_crash", LogSampling::Each, || {
-            json!({"request_id": request_id, "backend_server": server.name,
-                   "fingerprint": crash.request.to_string()})
-        });
-        lock(&self.crash_watch).record_crash(crash);
-        self.report_now.notify_one();
-    }
-
-    /// Returns the crashes and answered suspects that are due for a coordinator, see [`CrashWatch::report`].
-    pub(crate) fn report_crashes(
-        &self,
-        include_reported: bool,
-    ) -> (Vec<RequestCrash>, Vec<Fingerprint>) {
-        lock(&self.crash_watch).report(include_reported, boot_clock::now())
-    }
-
-    /// Replaces the suspect requests by the list of a coordinator and logs those that become quarantined, see [`CrashWatch::set_suspects`].
-    pub(crate) fn set_suspects(&self, list: Vec<SuspectRequest>, continued: bool) {
-        for quarantined in lock(&self.crash_watch).set_suspects(list, continued) {
-            self.log.record(
-                "request_quarantined",
-                LogSampling::Each,
-                || json!({"fingerprint": quarantined.request.to_string(), "crashes": quarantined.crashes}),
-            );
-        }
-    }
-
-    pub(crate) fn acknowledge_crashes(&self, crashes: &[RequestCrash], answered: &[Fingerprint]) {
-        lock(&self.crash_watch).acknowledge(crashes, answered);
-    }
-
     /// Time after which an unanswered request of a route counts as a failure of its server.
     pub(crate) fn slow_after(&self, route: &str) -> Duration {
         let times = lock(&self.service_times);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,8 +7,10 @@
 mod answered_ids;
 pub mod attempt;
 pub mod attempt_record;
+mod availability;
 pub mod backend_connection;
 pub mod callers;
+mod crash_check;
 pub mod crash_watch;
 pub mod forward;
 pub mod gateway;
@@ -24,6 +26,7 @@
 pub mod relay;
 pub mod request;
 pub mod response;
+mod retirements;
 pub mod retry_budget;
 pub mod selection;
 pub mod server;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -12,12 +12,14 @@
 use rand::seq::{IndexedRandom as _, IteratorRandom as _};
 use rand::{Rng as _, SeedableRng as _};
 
+use crate::availability::{Availabilities, Availability};
 use crate::backend_connection::BackendConnection;
 use crate::left_out::{LeftOut, NoServer};
-use crate::outcomes::Outcomes;
+use crate::outcomes::ServiceOutcomes;
+use crate::retirements::Retirements;
 use crate::retry_budget::RetryBudget;
-use crate::selection::{self, Candidate, FailureImpact};
-use crate::server::{AttemptResult, Availabilities, Availability, Server};
+use crate::selection::{self, Candidate};
+use crate::server::{AttemptResult, Server};
 use crate::settings::RetryBudgetSettings;
 
 /// Number of backend servers that are compared for one attempt of a busy service; they are a random sample when there are
@@ -29,13 +31,6 @@
 /// few of them have answered recently, and those have capacity for all requests.
 const BUSY_IN_FLIGHT_PER_SERVER: f64 = 0.25;
 
-/// Share of unserved requests above which a service is degraded.
-const DEGRADED_UNSERVED_SHARE: f64 = 0.05;
-
-/// Time after the last idempotent request of a service at this gateway from which the service counts as having
-/// none that could serve as probes.
-const IDEMPOTENT_TRAFFIC_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// Backend server that was selected for an attempt.
 #[derive(Debug)]
 pub struct ChosenServer {
@@ -75,18 +70,13 @@
     services: HashMap<Arc<str>, HashMap<Arc<str>, Server>>,
     service_of: HashMap<Arc<str>, Arc<str>>,
     names_by_short_key: HashMap<u32, Arc<str>>,
-    retired: HashMap<Arc<str>, Retirement>,
+    retirements: Retirements,
     /// What servers said in their answers about new requests.
     intakes: IntakeTable,
-    /// Index of the replicated log up to which the newest list of retirements reaches.
-    retirements_index: u64,
     budgets: HashMap<Arc<str>, RetryBudget>,
     budget_settings: RetryBudgetSettings,
     gateways: u32,
-    /// Local time of the last idempotent request of each service at this gateway.
-    last_idempotent_at: HashMap<Arc<str>, Duration>,
-    /// Served and unserved requests of each service; they decide how often requests that cannot be retried probe.
-    outcomes: HashMap<Arc<str>, Outcomes>,
+    outcomes: ServiceOutcomes,
     rng: SmallRng,
 }
 
@@ -99,14 +89,12 @@
             services: HashMap::new(),
             service_of: HashMap::new(),
             names_by_short_key: HashMap::new(),
-            retired: HashMap::new(),
+            retirements: Retirements::default(),
             intakes: IntakeTable::default(),
-            retirements_index: 0,
             budgets: HashMap::new(),
             budget_settings,
             gateways: 1,
-            last_idempotent_at: HashMap::new(),
-            outcomes: HashMap::new(),
+            outcomes: ServiceOutcomes::default(),
             rng: SmallRng::from_os_rng(),
         }
     }
@@ -172,21 +160,9 @@
         }
     }
 
-    /// Applies the retirements up to an index of the replicated log. A list with the same or a higher index replaces the
-    /// previous one, because coordinators remove old retirements; an older list is merged, and the newest retirement
-    /// of each backend server counts.
+    /// Applies the retirements up to an index of the replicated log.
     pub fn retire(&mut self, retirements: Vec<Retirement>, applied_index: u64) {
-        if applied_index >= self.retirements_index {
-            self.retirements_index = applied_index;
-            self.retired.clear();
-        }
-        for retirement in retirements {
-            let rank = |known: &Retirement| (known.started_at_ms, known.state);
-            let known = self.retired.get(&retirement.id);
-            if known.is_none_or(|known| rank(known) < rank(&retirement)) {
-                self.retired.insert(Arc::clone(&retirement.id), retirement);
-            }
-        }
+        self.retirements.apply(retirements, applied_index);
     }
 
     /// Applies evidence that another gateway reported.
@@ -209,7 +185,7 @@
             }
             let service = Arc::clone(&server.presence.service);
             let (succeeded, failed) = (evidence.succeeded.into(), evidence.failed.into());
-            self.count_outcomes(&service, succeeded, failed, now);
+            self.outcomes.count(&service, succeeded, failed, now);
         }
     }
 
@@ -252,10 +228,12 @@
         exclude: &[Arc<str>],
         now: Duration,
     ) -> Result<ChosenServer, NoServer> {
-        let impact = self.failure_impact(service, idempotent, is_last, now);
+        let impact = self
+            .outcomes
+            .failure_impact(service, idempotent, is_last, now);
         let mut none = NoServer::default();
         let availabilities = Availabilities {
-            retired: &self.retired,
+            retirements: &self.retirements,
             intakes: &self.intakes,
             now,
         };
@@ -320,7 +298,7 @@
 
     const fn availabilities(&self, now: Duration) -> Availabilities<'_> {
         Availabilities {
-            retired: &self.retired,
+            retirements: &self.retirements,
             intakes: &self.intakes,
             now,
         }
@@ -363,44 +341,11 @@
         self.intakes.paused_servers(now)
     }
 
-    fn failure_impact(
-        &mut self,
-        service: &str,
-        idempotent: bool,
-        is_last: bool,
-        now: Duration,
-    ) -> FailureImpact {
-        if idempotent {
-            self.last_idempotent_at.insert(service.into(), now);
-            return if is_last {
-                FailureImpact::Final
-            } else {
-                FailureImpact::Retryable
-            };
-        }
-        let last = self.last_idempotent_at.get(service);
-        if last.is_some_and(|at| now.saturating_sub(*at) < IDEMPOTENT_TRAFFIC_TIMEOUT) {
-            FailureImpact::Final
-        } else {
-            let outcomes = self.outcomes.get(service);
-            FailureImpact::FinalWithoutProbes {
-                degraded: outcomes
-                    .is_some_and(|outcomes| outcomes.unserved_share(now) > DEGRADED_UNSERVED_SHARE),
-            }
-        }
-    }
-
-    /// Counts served and unserved requests of a service at this or another gateway.
-    fn count_outcomes(&mut self, service: &Arc<str>, served: f64, unserved: f64, now: Duration) {
-        let outcomes = self.outcomes.entry(Arc::clone(service)).or_default();
-        outcomes.record(served, unserved, now);
-    }
-
     /// Counts a request that this gateway refused itself. Gateways do not report their refusals to each other, so each
     /// one assumes that the others refuse as many.
     pub fn count_refused(&mut self, service: &Arc<str>, now: Duration) {
         let weight = f64::from(self.gateways);
-        self.count_outcomes(service, 0.0, weight, now);
+        self.outcomes.count(service, 0.0, weight, now);
     }
 
     /// Records the end of an attempt and stores its connection for reuse. An attempt at an earlier incarnation has no
@@ -422,8 +367,8 @@
             self.store_idle(server, connection);
         }
         match result {
-            AttemptResult::Succeeded => self.count_outcomes(&service, 1.0, 0.0, now),
-            AttemptResult::Failed => self.count_outcomes(&service, 0.0, 1.0, now),
+            AttemptResult::Succeeded => self.outcomes.count(&service, 1.0, 0.0, now),
+            AttemptResult::Failed => self.outcomes.count(&service, 0.0, 1.0, now),
             _ => (),
         }
         if result == AttemptResult::Misdirected {
@@ -489,7 +434,7 @@
         is_suitable: impl Fn(Availability) -> bool,
     ) -> Vec<(ServerIncarnation, SocketAddr)> {
         let availabilities = Availabilities {
-            retired: &self.retired,
+            retirements: &self.retirements,
             intakes: &self.intakes,
             now,
         };
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -4,10 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use radishpaddle_model::{
-    BackendState, Retirement, ServerEvidence, ServerIncarnation, ServerPresence,
-};
-use radishpaddle_policy::{IntakeTable, NoNewRequests};
+use radishpaddle_model::{ServerEvidence, ServerIncarnation, ServerPresence};
 
 use crate::backend_connection::BackendConnection;
 use crate::health::Health;
@@ -51,49 +48,6 @@
     Neutral,
 }
 
-/// Whether a server gets new requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Availability {
-    /// It gets new requests.
-    Accepting,
-    /// It said in an answer that it wants none.
-    LeftOut(NoNewRequests),
-    /// Coordinators know that it is draining or gone.
-    Retired,
-}
-
-/// What availability depends on besides the announcement of the server.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Availabilities<'a> {
-    /// Newest retirement of each name.
-    pub(crate) retired: &'a HashMap<Arc<str>, Retirement>,
-    /// What servers said in their answers.
-    pub(crate) intakes: &'a IntakeTable,
-    pub(crate) now: Duration,
-}
-
-impl Availabilities<'_> {
-    /// Decides whether a server gets new requests.
-    pub(crate) fn of(&self, server: &Server) -> Availability {
-        let presence = &server.presence;
-        let retired = self.retired.get(&presence.id);
-        let is_retired =
-            retired.is_some_and(|retired| retired.started_at_ms >= presence.started_at_ms);
-        if presence.state != BackendState::Serving || is_retired {
-            return Availability::Retired;
-        }
-        let refusal = self
-            .intakes
-            .refusal(&presence.id, presence.started_at_ms, self.now);
-        refusal.map_or(Availability::Accepting, Availability::LeftOut)
-    }
-
-    /// Whether a server gets new requests.
-    pub(crate) fn is_accepting(&self, server: &Server) -> bool {
-        self.of(server) == Availability::Accepting
-    }
-}
-
 /// Presence, health, load and idle connections of one backend server.
 #[derive(Debug)]
 pub(crate) struct Server {
