--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,8 +8,7 @@
 use anyhow::Result;
 use radishpaddle_kernel::{DecisionLog, LogSampling, PlannedStop, boot_clock};
 use radishpaddle_model::{
-    Fingerprint, OrganisationDemand, RequestCrash, RoutingConfig, RoutingRule, RoutingTable,
-    SuspectRequest,
+    OrganisationDemand, RoutingConfig, RoutingRule, RoutingTable, ServerIncarnation,
 };
 use radishpaddle_policy::hedge::{HedgeClass, HedgeQuery};
 use radishpaddle_policy::reachability::{Reachability, ReachabilityChange};
@@ -18,10 +17,11 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, timeout_at};
 
-use crate::backend_connection::{BackendConnection, CONNECT_TIMEOUT, ConnectFailure};
+use crate::backend_connection::BackendConnection;
 use crate::callers::CallerListener;
-use crate::crash_watch::{CRASH_CHECK_DELAY, CrashWatch, ObservedCrash};
+use crate::crash_watch::CrashWatch;
 use crate::forward::Headers;
+use crate::left_out::NoServer;
 use crate::metrics::GatewayMetrics;
 use crate::path_check;
 use crate::poll_task;
@@ -132,11 +132,12 @@
     }
 }
 
-/// Closes idle connections that have expired, periodically.
+/// Closes idle connections that have expired and counts paused servers, periodically.
 async fn close_idle(shared: Arc<Shared>) {
     loop {
         tokio::time::sleep(IDLE_CHECK_PERIOD).await;
         lock(&shared.pools).close_idle();
+        shared.count_paused_servers();
     }
 }
 
@@ -264,24 +265,35 @@
         idempotent: bool,
         is_last: bool,
         exclude: &[Arc<str>],
-    ) -> Option<ChosenServer> {
-        lock(&self.pools).choose(service, idempotent, is_last, exclude, boot_clock::now())
+    ) -> Result<ChosenServer, NoServer> {
+        let now = boot_clock::now();
+        let chosen = lock(&self.pools).choose(service, idempotent, is_last, exclude, now)?;
+        self.log_resumed(&chosen);
+        Ok(chosen)
+    }
+
+    pub(crate) fn crash_watch(&self) -> MutexGuard<'_, CrashWatch> {
+        lock(&self.crash_watch)
+    }
+
+    pub(crate) fn pools(&self) -> MutexGuard<'_, Pools> {
+        lock(&self.pools)
     }
 
     pub(crate) fn finish_attempt(
         &self,
-        id: &str,
+        server: &ServerIncarnation,
         result: AttemptResult,
         connection: Option<BackendConnection>,
     ) {
-        lock(&self.pools).finish_attempt(id, result, connection, boot_clock::now());
+        lock(&self.pools).finish_attempt(server, result, connection, boot_clock::now());
         if result == AttemptResult::Failed {
             self.report_now.notify_one();
         }
     }
 
-    pub(crate) fn record_result(&self, id: &str, result: AttemptResult) {
-        lock(&self.pools).record_result(id, result, boot_clock::now());
+    pub(crate) fn record_result(&self, server: &ServerIncarnation, result: AttemptResult) {
+        lock(&self.pools).record_result(server, result, boot_clock::now());
         if result == AttemptResult::Failed {
             self.report_now.notify_one();
         }
@@ -334,11 +346,11 @@
     }
 
     /// Returns backend servers at random to check the path to them.
-    pub(crate) fn sample_servers(&self, count: usize) -> Vec<(Arc<str>, SocketAddr)> {
-        lock(&self.pools).sample_servers(count)
+    pub(crate) fn sample_servers(&self, count: usize) -> Vec<(ServerIncarnation, SocketAddr)> {
+        lock(&self.pools).sample_servers(count, boot_clock::now())
     }
 
-    pub(crate) fn store_idle(&self, server: &str, connection: BackendConnection) {
+    pub(crate) fn store_idle(&self, server: &ServerIncarnation, connection: BackendConnection) {
         lock(&self.pools).store_idle(server, connection);
     }
 
@@ -381,70 +393,6 @@
         lock(&self.pools).take_evidence(boot_clock::now())
     }
 
-    /// Whether a request is quarantined because it crashes backend servers. The fingerprint is computed only when there
-    /// are suspect requests.
-    pub(crate) fn is_quarantined(&self, fingerprint: impl FnOnce() -> Fingerprint) -> bool {
-        let watch = lock(&self.crash_watch);
-        watch.has_suspects() && watch.is_quarantined(&fingerprint())
-    }
-
-    /// Records that a backend server answered the request, in case the request is suspect.
-    pub(crate) fn record_answer(&self, fingerprint: impl FnOnce() -> Fingerprint) {
-        let mut watch = lock(&self.crash_watch);
-        if watch.has_suspects() {
-            watch.record_answer(fingerprint());
-        }
-    }
-
-    /// Checks whether a server that closed a connection with a request in flight still accepts connections. If it refuses
-    /// them, the request counts as in flight at a crash. A server that only resets connections for a while accepts new
-    /// ones, and with an interrupted network path there is no answer.
-    pub(crate) async fn check_crash(
-        &self,
-        (server, address): (Arc<str>, SocketAddr),
-        request_id: Option<String>,
-        crash: ObservedCrash,
-    ) {
-        tokio::time::sleep(CRASH_CHECK_DELAY).await;
-        match BackendConnection::open(address, CONNECT_TIMEOUT).await {
-            Ok(connection) => {
-                self.record_connected();
-                return self.store_idle(&server, connection);
-            }
-            Err(ConnectFailure::Unreachable) => return self.record_connect_failure(&server),
-            Err(ConnectFailure::Refused) => self.record_connect_failure(&server),
-        }
-        self.log.record("request_crash", LogSampling::Each, || {
-            json!({"request_id": request_id, "backend_server": server,
-                   "fingerprint": crash.request.to_string()})
-        });
-        lock(&self.crash_watch).record_crash(crash);
-        self.report_now.notify_one();
-    }
-
-    /// Returns the crashes and answered suspects that are due for a coordinator, see [`CrashWatch::report`].
-    pub(crate) fn report_crashes(
-        &self,
-        include_reported: bool,
-    ) -> (Vec<RequestCrash>, Vec<Fingerprint>) {
-        lock(&self.crash_watch).report(include_reported, boot_clock::now())
-    }
-
-    /// Replaces the suspect requests by the list of a coordinator and logs those that become quarantined, see [`CrashWatch::set_suspects`].
-    pub(crate) fn set_suspects(&self, list: Vec<SuspectRequest>, continued: bool) {
-        for quarantined in lock(&self.crash_watch).set_suspects(list, continued) {
-            self.log.record(
-                "request_quarantined",
-                LogSampling::Each,
-                || json!({"fingerprint": quarantined.request.to_string(), "crashes": quarantined.crashes}),
-            );
-        }
-    }
-
-    pub(crate) fn acknowledge_crashes(&self, crashes: &[RequestCrash], answered: &[Fingerprint]) {
-        lock(&self.crash_watch).acknowledge(crashes, answered);
-    }
-
     /// Time after which an unanswered request of a route counts as a failure of its server.
     pub(crate) fn slow_after(&self, route: &str) -> Duration {
         let times = lock(&self.service_times);
@@ -503,6 +451,8 @@
         }
         // A second copy is meant to be answered, so it never serves as a probe.
         let is_last = true;
-        pools.choose(service, rule.idempotent, is_last, exclude, now)
+        let chosen = pools.choose(service, rule.idempotent, is_last, exclude, now);
+        drop(pools);
+        chosen.inspect(|chosen| self.log_resumed(chosen)).ok()
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,13 +6,19 @@
 
 mod answered_ids;
 pub mod attempt;
+pub mod attempt_record;
+mod availability;
 pub mod backend_connection;
 pub mod callers;
+mod crash_check;
 pub mod crash_watch;
 pub mod forward;
 pub mod gateway;
 pub mod health;
+pub mod left_out;
 pub mod metrics;
+mod next_step;
+mod outcomes;
 pub mod path_check;
 pub mod poll_task;
 pub mod pool;
@@ -20,9 +26,11 @@
 pub mod relay;
 pub mod request;
 pub mod response;
+mod retirements;
 pub mod retry_budget;
 pub mod selection;
 pub mod server;
+pub mod server_intake;
 pub mod settings;
 
 pub use gateway::Gateway;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -5,15 +5,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use radishpaddle_model::{Retirement, ServerEvidence, short_name_key};
+use radishpaddle_model::{Retirement, ServerEvidence, ServerIncarnation, short_name_key};
+use radishpaddle_policy::{IntakeTable, NoNewRequests, PauseChange, RetryAfter};
 use radishpaddle_wire::ServerUpdate;
 use rand::rngs::SmallRng;
 use rand::seq::{IndexedRandom as _, IteratorRandom as _};
 use rand::{Rng as _, SeedableRng as _};
 
+use crate::availability::{Availabilities, Availability};
 use crate::backend_connection::BackendConnection;
+use crate::left_out::{LeftOut, NoServer};
+use crate::outcomes::ServiceOutcomes;
+use crate::retirements::Retirements;
 use crate::retry_budget::RetryBudget;
-use crate::selection::{self, Candidate, FailureImpact};
+use crate::selection::{self, Candidate};
 use crate::server::{AttemptResult, Server};
 use crate::settings::RetryBudgetSettings;
 
@@ -26,31 +31,25 @@
 /// few of them have answered recently, and those have capacity for all requests.
 const BUSY_IN_FLIGHT_PER_SERVER: f64 = 0.25;
 
-/// Share of unserved requests above which a service is degraded.
-const DEGRADED_UNSERVED_SHARE: f64 = 0.05;
-
-/// Time constant of the moving average of the outcomes of a service.
-const OUTCOMES_DECAY_TIME: Duration = Duration::from_secs(2);
-
-/// Time after the last idempotent request of a service at this gateway from which the service counts as having
-/// none that could serve as probes.
-const IDEMPOTENT_TRAFFIC_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// Backend server that was selected for an attempt.
 #[derive(Debug)]
 pub struct ChosenServer {
-    /// Name of the backend server.
-    pub id: Arc<str>,
+    /// Name and start of the backend server.
+    pub server: ServerIncarnation,
     /// Address for requests.
     pub address: SocketAddr,
-    /// Identifier of the run of the backend server process.
-    pub incarnation: u64,
+    /// Identifier of the run of the backend server process in reports of crashes.
+    pub incarnation_key: u64,
     /// Idle connection to reuse, if there is one.
     pub connection: Option<BackendConnection>,
     /// Estimated probability that the request fails, from 0 to 1.
     pub failure_probability: f64,
     /// Requests in flight at the server from all gateways, before this one.
     pub in_flight: u32,
+    /// Local time at which a pause of the server ended, if this is the first request since.
+    pub pause_ended_at: Option<Duration>,
+    /// Servers that were left out of the selection.
+    pub left_out: LeftOut,
 }
 
 /// Load of the backend servers of a service that accept requests.
@@ -71,48 +70,16 @@
     services: HashMap<Arc<str>, HashMap<Arc<str>, Server>>,
     service_of: HashMap<Arc<str>, Arc<str>>,
     names_by_short_key: HashMap<u32, Arc<str>>,
-    retired: HashMap<Arc<str>, Retirement>,
-    /// Index of the replicated log up to which the newest list of retirements reaches.
-    retirements_index: u64,
+    retirements: Retirements,
+    /// What servers said in their answers about new requests.
+    intakes: IntakeTable,
     budgets: HashMap<Arc<str>, RetryBudget>,
     budget_settings: RetryBudgetSettings,
     gateways: u32,
-    /// Local time of the last idempotent request of each service at this gateway.
-    last_idempotent_at: HashMap<Arc<str>, Duration>,
-    /// Served and unserved requests of each service; they decide how often requests that cannot be retried probe.
-    outcomes: HashMap<Arc<str>, Outcomes>,
+    outcomes: ServiceOutcomes,
     rng: SmallRng,
 }
 
-/// Exponentially decayed counts of served and unserved requests of a service.
-#[derive(Debug, Clone, Copy, Default)]
-struct Outcomes {
-    served: f64,
-    unserved: f64,
-    updated_at: Duration,
-}
-
-impl Outcomes {
-    fn record(&mut self, served: f64, unserved: f64, now: Duration) {
-        let decay = self.decay(now);
-        self.served = self.served * decay + served;
-        self.unserved = self.unserved * decay + unserved;
-        self.updated_at = now;
-    }
-
-    fn unserved_share(&self, now: Duration) -> f64 {
-        let decay = self.decay(now);
-        let unserved = self.unserved * decay;
-        unserved / (unserved + self.served * decay).max(1.0)
-    }
-
-    /// Factor by which the counts have decayed since the last update.
-    fn decay(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.updated_at).as_secs_f64();
-        (-age / OUTCOMES_DECAY_TIME.as_secs_f64()).exp()
-    }
-}
-
 impl Pools {
     /// Creates pools without backend servers; `zone` is the availability zone of this gateway.
     #[must_use]
@@ -122,13 +89,12 @@
             services: HashMap::new(),
             service_of: HashMap::new(),
             names_by_short_key: HashMap::new(),
-            retired: HashMap::new(),
-            retirements_index: 0,
+            retirements: Retirements::default(),
+            intakes: IntakeTable::default(),
             budgets: HashMap::new(),
             budget_settings,
             gateways: 1,
-            last_idempotent_at: HashMap::new(),
-            outcomes: HashMap::new(),
+            outcomes: ServiceOutcomes::default(),
             rng: SmallRng::from_os_rng(),
         }
     }
@@ -194,21 +160,9 @@
         }
     }
 
-    /// Applies the retirements up to an index of the replicated log. A list with the same or a higher index replaces the
-    /// previous one, because coordinators remove old retirements; an older list is merged, and the newest retirement
-    /// of each backend server counts.
+    /// Applies the retirements up to an index of the replicated log.
     pub fn retire(&mut self, retirements: Vec<Retirement>, applied_index: u64) {
-        if applied_index >= self.retirements_index {
-            self.retirements_index = applied_index;
-            self.retired.clear();
-        }
-        for retirement in retirements {
-            let rank = |known: &Retirement| (known.started_at_ms, known.state);
-            let known = self.retired.get(&retirement.id);
-            if known.is_none_or(|known| rank(known) < rank(&retirement)) {
-                self.retired.insert(Arc::clone(&retirement.id), retirement);
-            }
-        }
+        self.retirements.apply(retirements, applied_index);
     }
 
     /// Applies evidence that another gateway reported.
@@ -231,7 +185,7 @@
             }
             let service = Arc::clone(&server.presence.service);
             let (succeeded, failed) = (evidence.succeeded.into(), evidence.failed.into());
-            self.count_outcomes(&service, succeeded, failed, now);
+            self.outcomes.count(&service, succeeded, failed, now);
         }
     }
 
@@ -261,8 +215,11 @@
             .or_insert_with(|| RetryBudget::new(settings.clone()))
     }
 
-    /// Selects a backend server and counts the request as in flight there. Returns `None` when no server of the service
-    /// accepts requests apart from those in `exclude`; `is_last` tells that no retry can follow.
+    /// Selects a backend server and counts the request as in flight there; `is_last` tells that no retry can follow.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no server of the service accepts requests apart from those in `exclude`.
     pub fn choose(
         &mut self,
         service: &str,
@@ -270,11 +227,25 @@
         is_last: bool,
         exclude: &[Arc<str>],
         now: Duration,
-    ) -> Option<ChosenServer> {
-        let impact = self.failure_impact(service, idempotent, is_last, now);
-        let servers = self.services.get_mut(service)?;
+    ) -> Result<ChosenServer, NoServer> {
+        let impact = self
+            .outcomes
+            .failure_impact(service, idempotent, is_last, now);
+        let mut none = NoServer::default();
+        let availabilities = Availabilities {
+            retirements: &self.retirements,
+            intakes: &self.intakes,
+            now,
+        };
+        let servers = self.services.get_mut(service).ok_or(none)?;
         let eligible = servers.iter().filter(|(name, server)| {
-            server.accepts_requests(self.retired.get(*name)) && !exclude.contains(name)
+            let availability = availabilities.of(server);
+            match availability {
+                Availability::Accepting => none.any_accepting = true,
+                Availability::LeftOut(reason) => none.left_out.add(reason),
+                Availability::Retired => (),
+            }
+            availability == Availability::Accepting && !exclude.contains(name)
         });
         let eligible = eligible.map(|(name, _)| Arc::clone(name));
         let names: Vec<Arc<str>> = if is_busy(servers, self.gateways) {
@@ -285,22 +256,28 @@
         let candidates: Vec<Candidate> = names
             .iter()
             .enumerate()
-            .map(|(index, name)| servers[name].candidate(index, &self.zone, now))
+            .map(|(index, name)| {
+                let server = &servers[name];
+                let start = server.presence.started_at_ms;
+                let resumed = self.intakes.has_ended_pause(name, start, now);
+                server.candidate(index, &self.zone, resumed, now)
+            })
             .collect();
-        let index = selection::choose(&candidates, impact, &mut self.rng)?;
-        let candidate = candidates
-            .iter()
-            .find(|candidate| candidate.index == index)?;
-        let server = servers.get_mut(&names[index])?;
+        let index = selection::choose(&candidates, impact, &mut self.rng).ok_or(none)?;
+        let candidate = &candidates[index];
+        let server = servers.get_mut(&names[index]).ok_or(none)?;
         server.in_flight += 1;
         server.last_used_at = now;
-        Some(ChosenServer {
-            id: Arc::clone(&names[index]),
+        let start = server.presence.started_at_ms;
+        Ok(ChosenServer {
+            server: server.incarnation(),
             address: server.presence.address,
-            incarnation: server.presence.incarnation_key(),
+            incarnation_key: server.presence.incarnation_key(),
             connection: server.take_idle(idempotent),
             failure_probability: candidate.failure_probability,
             in_flight: candidate.in_flight,
+            pause_ended_at: self.intakes.take_ended_pause(&names[index], start, now),
+            left_out: none.left_out,
         })
     }
 
@@ -308,8 +285,8 @@
     pub(crate) fn load(&self, service: &str, exclude: &[Arc<str>], now: Duration) -> ServiceLoad {
         let mut load = ServiceLoad::default();
         let servers = self.services.get(service).into_iter().flatten();
-        let accepting =
-            servers.filter(|(name, server)| server.accepts_requests(self.retired.get(*name)));
+        let availabilities = self.availabilities(now);
+        let accepting = servers.filter(|(_, server)| availabilities.is_accepting(server));
         for (name, server) in accepting {
             let in_flight = server.fleet_in_flight(now);
             load.in_flight += in_flight;
@@ -319,84 +296,103 @@
         load
     }
 
-    fn failure_impact(
-        &mut self,
-        service: &str,
-        idempotent: bool,
-        is_last: bool,
-        now: Duration,
-    ) -> FailureImpact {
-        if idempotent {
-            self.last_idempotent_at.insert(service.into(), now);
-            return if is_last {
-                FailureImpact::Final
-            } else {
-                FailureImpact::Retryable
-            };
+    const fn availabilities(&self, now: Duration) -> Availabilities<'_> {
+        Availabilities {
+            retirements: &self.retirements,
+            intakes: &self.intakes,
+            now,
         }
-        let last = self.last_idempotent_at.get(service);
-        if last.is_some_and(|at| now.saturating_sub(*at) < IDEMPOTENT_TRAFFIC_TIMEOUT) {
-            FailureImpact::Final
-        } else {
-            let outcomes = self.outcomes.get(service);
-            FailureImpact::FinalWithoutProbes {
-                degraded: outcomes
-                    .is_some_and(|outcomes| outcomes.unserved_share(now) > DEGRADED_UNSERVED_SHARE),
-            }
+    }
+
+    /// Records that a server said that it is leaving, and closes its idle connections. Returns whether that is new.
+    pub fn record_leaving(&mut self, server: &ServerIncarnation, now: Duration) -> bool {
+        let is_new = self.intakes.record_leaving(server, now);
+        if is_new && let Some(known) = self.incarnation_mut(server) {
+            known.idle.clear();
         }
+        is_new
+    }
+
+    /// Records that a server asked for a pause. Returns `None` when nothing changes.
+    pub fn record_pause(
+        &mut self,
+        server: &ServerIncarnation,
+        pause: RetryAfter,
+        now: Duration,
+    ) -> Option<PauseChange> {
+        let random = self.random();
+        self.intakes.record_pause(server, pause, random, now)
+    }
+
+    /// Why a server gets no new requests because of its answers; `None` when it gets some.
+    #[must_use]
+    pub fn no_new_requests(
+        &self,
+        server: &ServerIncarnation,
+        now: Duration,
+    ) -> Option<NoNewRequests> {
+        self.intakes
+            .refusal(&server.name, server.started_at_ms, now)
     }
 
-    /// Counts served and unserved requests of a service at this or another gateway.
-    fn count_outcomes(&mut self, service: &Arc<str>, served: f64, unserved: f64, now: Duration) {
-        let outcomes = self.outcomes.entry(Arc::clone(service)).or_default();
-        outcomes.record(served, unserved, now);
+    /// Number of servers that are paused.
+    #[must_use]
+    pub fn paused_servers(&self, now: Duration) -> usize {
+        self.intakes.paused_servers(now)
     }
 
     /// Counts a request that this gateway refused itself. Gateways do not report their refusals to each other, so each
     /// one assumes that the others refuse as many.
     pub fn count_refused(&mut self, service: &Arc<str>, now: Duration) {
         let weight = f64::from(self.gateways);
-        self.count_outcomes(service, 0.0, weight, now);
+        self.outcomes.count(service, 0.0, weight, now);
     }
 
-    /// Records the end of an attempt and stores its connection for reuse.
+    /// Records the end of an attempt and stores its connection for reuse. An attempt at an earlier incarnation has no
+    /// effect on the one that is known.
     pub fn finish_attempt(
         &mut self,
-        id: &str,
+        server: &ServerIncarnation,
         result: AttemptResult,
         connection: Option<BackendConnection>,
         now: Duration,
     ) {
-        let Some(server) = self.server_mut(id) else {
+        let Some(known) = self.incarnation_mut(server) else {
             return;
         };
-        server.in_flight = server.in_flight.saturating_sub(1);
-        server.record_result(result, now);
-        let service = Arc::clone(&server.presence.service);
+        known.in_flight = known.in_flight.saturating_sub(1);
+        known.record_result(result, now);
+        let service = Arc::clone(&known.presence.service);
         if let Some(connection) = connection {
-            server.store_idle(connection);
+            self.store_idle(server, connection);
         }
         match result {
-            AttemptResult::Succeeded => self.count_outcomes(&service, 1.0, 0.0, now),
-            AttemptResult::Failed => self.count_outcomes(&service, 0.0, 1.0, now),
+            AttemptResult::Succeeded => self.outcomes.count(&service, 1.0, 0.0, now),
+            AttemptResult::Failed => self.outcomes.count(&service, 0.0, 1.0, now),
             _ => (),
         }
         if result == AttemptResult::Misdirected {
-            self.remove(id);
+            self.remove(&server.name);
         }
     }
 
     /// Records a result while the attempt goes on, such as an answer that is overdue.
-    pub fn record_result(&mut self, id: &str, result: AttemptResult, now: Duration) {
-        if let Some(server) = self.server_mut(id) {
-            server.record_result(result, now);
+    pub fn record_result(
+        &mut self,
+        server: &ServerIncarnation,
+        result: AttemptResult,
+        now: Duration,
+    ) {
+        if let Some(known) = self.incarnation_mut(server) {
+            known.record_result(result, now);
         }
     }
 
-    /// Stores a connection that was opened without a request, for reuse.
-    pub fn store_idle(&mut self, id: &str, connection: BackendConnection) {
-        if let Some(server) = self.server_mut(id) {
-            server.store_idle(connection);
+    /// Stores a connection for reuse, or closes it when the server is leaving or its incarnation is not the known one.
+    pub fn store_idle(&mut self, server: &ServerIncarnation, connection: BackendConnection) {
+        let is_leaving = self.intakes.is_leaving(&server.name, server.started_at_ms);
+        if let Some(known) = self.incarnation_mut(server).filter(|_| !is_leaving) {
+            known.store_idle(connection);
         }
     }
 
@@ -406,12 +402,45 @@
         self.service_of.len()
     }
 
-    /// Returns at most `count` backend servers at random, of all services.
-    pub fn sample_servers(&mut self, count: usize) -> Vec<(Arc<str>, SocketAddr)> {
-        let servers = self.services.values().flatten();
-        let accepting =
-            servers.filter(|(name, server)| server.accepts_requests(self.retired.get(*name)));
-        let addresses = accepting.map(|(name, server)| (Arc::clone(name), server.presence.address));
+    /// Returns at most `count` backend servers at random, of all services, to connect to without a request: those that
+    /// accept requests first, then paused ones, which run as well. Leaving ones may be gone and are the last resort.
+    pub fn sample_servers(
+        &mut self,
+        count: usize,
+        now: Duration,
+    ) -> Vec<(ServerIncarnation, SocketAddr)> {
+        let is_paused = |availability| {
+            matches!(
+                availability,
+                Availability::LeftOut(NoNewRequests::Paused { .. })
+            )
+        };
+        let mut sample = self.sample(count, now, |availability| {
+            availability == Availability::Accepting
+        });
+        let missing = count - sample.len();
+        sample.extend(self.sample(missing, now, is_paused));
+        if sample.is_empty() {
+            let leaving = Availability::LeftOut(NoNewRequests::Leaving);
+            return self.sample(count, now, |availability| availability == leaving);
+        }
+        sample
+    }
+
+    fn sample(
+        &mut self,
+        count: usize,
+        now: Duration,
+        is_suitable: impl Fn(Availability) -> bool,
+    ) -> Vec<(ServerIncarnation, SocketAddr)> {
+        let availabilities = Availabilities {
+            retirements: &self.retirements,
+            intakes: &self.intakes,
+            now,
+        };
+        let servers = self.services.values().flat_map(HashMap::values);
+        let suitable = servers.filter(|server| is_suitable(availabilities.of(server)));
+        let addresses = suitable.map(|server| (server.incarnation(), server.presence.address));
         addresses.choose_multiple(&mut self.rng, count)
     }
 
@@ -441,6 +470,11 @@
         }
     }
 
+    fn incarnation_mut(&mut self, server: &ServerIncarnation) -> Option<&mut Server> {
+        let known = self.server_mut(&server.name)?;
+        (known.presence.started_at_ms == server.started_at_ms).then_some(known)
+    }
+
     fn server_mut(&mut self, id: &str) -> Option<&mut Server> {
         let service = self.service_of.get(id)?;
         self.services.get_mut(service)?.get_mut(id)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -124,7 +124,8 @@
             .send(request, &self.shared.headers.request_id)
             .await
         {
-            SendOutcome::Answered(answer, _) => {
+            SendOutcome::Answered(mut answer, _) => {
+                self.shared.record_relayed_intake(&mut answer);
                 let not_run = answer.status == StatusCode::SERVICE_UNAVAILABLE;
                 let response = Ok(CallerResponse::forwarded(answer, self.request.is_head()));
                 if not_run {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,9 +1,10 @@
 //! State of one backend server at this gateway.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
-use radishpaddle_model::{BackendState, Retirement, ServerEvidence, ServerPresence};
+use radishpaddle_model::{ServerEvidence, ServerIncarnation, ServerPresence};
 
 use crate::backend_connection::BackendConnection;
 use crate::health::Health;
@@ -109,11 +110,12 @@
         }
     }
 
-    /// Whether new requests may be sent to the server; `retired` is the newest retirement of its name.
-    pub(crate) fn accepts_requests(&self, retired: Option<&Retirement>) -> bool {
-        let is_retired =
-            retired.is_some_and(|retired| retired.started_at_ms >= self.presence.started_at_ms);
-        self.presence.state == BackendState::Serving && !is_retired
+    /// Name and start of the server.
+    pub(crate) fn incarnation(&self) -> ServerIncarnation {
+        ServerIncarnation {
+            name: Arc::clone(&self.presence.id),
+            started_at_ms: self.presence.started_at_ms,
+        }
     }
 
     /// Requests in flight from all gateways.
@@ -124,7 +126,13 @@
         others + self.in_flight
     }
 
-    pub(crate) fn candidate(&self, index: usize, zone: &str, now: Duration) -> Candidate {
+    pub(crate) fn candidate(
+        &self,
+        index: usize,
+        zone: &str,
+        resumed: bool,
+        now: Duration,
+    ) -> Candidate {
         let shed = if now < self.shed_backoff_until {
             self.presence.slots
         } else {
@@ -132,6 +140,8 @@
         };
         let standing = if now < self.connect_backoff_until {
             Standing::ConnectBackoff
+        } else if resumed {
+            Standing::Resumed
         } else if self.health.is_suspect(now) {
             Standing::Suspect
         } else {
