testkit: Let sample backend servers say that they leave or want a pause

The fault plan of the sample backend server could shed and fail, but it had no way to send response headers, so no test could show what an instance does when a server says that it leaves (`X-Leaving: 1`) or asks for a pause (`Retry-After` on 503).

The plan now has `headers`: each one a name, a value as given text and the kinds of responses that carry it (success, failure, shed, probe). Several headers of one name are several values. `end_after_leaving_ms` ends the server some time after its first leaving response, as by a crash, without a drain announcement. The server records whom it told, and what arrives from an instance while a signal is in force for it; `GET /signals` on the control port and `RunningBackend::signals` return the record. A pause is counted from half a second after the response until its end. Instances are told apart by address, or by the prefix of the request id behind fault proxies, which share an address.

--- a/crates/testkit/src/backend/control.rs
+++ b/crates/testkit/src/backend/control.rs
@@ -7,6 +7,7 @@
 //! | `POST /entries` | replaces the entry instances; JSON array of the addresses of their backend ports |
 //! | `POST /drain`, `POST /leave` | announces the new state to every entry instance |
 //! | `POST /crash` | simulates a crash, with a restart if the fault plan sets `restart_after_ms` |
+//! | `GET /signals`, `DELETE /signals` | returns or discards the [`super::SignalRecord`] |
 //! | `GET /executions`, `DELETE /executions` | returns or discards the [`super::Execution`] records |
 
 use std::sync::Arc;
@@ -42,6 +43,11 @@
             shared.crash(shared.faults().restart_after_ms);
             ok(&shared.status())
         }
+        ("GET", "/signals") => ok(&shared.signals.record()),
+        ("DELETE", "/signals") => {
+            shared.signals.clear();
+            ok(&shared.status())
+        }
         ("GET", "/executions") => ok(&shared.execution_log.executions()),
         ("DELETE", "/executions") => {
             shared.execution_log.clear();
--- a/crates/testkit/src/backend/fault.rs
+++ b/crates/testkit/src/backend/fault.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::signal::ResponseHeader;
+
 /// Faults that a sample backend server injects. The default injects none.
 #[derive(Debug, Clone, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -31,6 +33,13 @@
     /// Time between a crash and the restart with a higher incarnation, in milliseconds; `None` means no
     /// restart.
     pub restart_after_ms: Option<u64>,
+    /// Headers added to responses, for example `X-Leaving` or `Retry-After`. Several headers of one name
+    /// are sent as several values.
+    pub headers: Vec<ResponseHeader>,
+    /// Time between the first response of an incarnation with `X-Leaving: 1` and its end, in milliseconds.
+    /// It ends as by a crash, so that requests in progress are lost, and its announcements stop. `None`
+    /// means that it goes on.
+    pub end_after_leaving_ms: Option<u64>,
 }
 
 impl FaultPlan {
--- a/crates/testkit/src/backend/mod.rs
+++ b/crates/testkit/src/backend/mod.rs
@@ -9,6 +9,7 @@
 mod serve;
 mod settings;
 mod shared;
+mod signal;
 
 use std::io;
 use std::net::SocketAddr;
@@ -23,6 +24,10 @@
 pub use record::{Execution, RECORDED_BODY_BYTES, digest};
 pub use settings::BackendSettings;
 pub use shared::BackendStatus;
+pub use signal::{
+    Arrival, CallerIdentity, LEAVING_HEADER, LeavingSignal, PAUSE_GRACE_US, PauseSignal,
+    ResponseHeader, ResponseKind, SignalRecord,
+};
 
 use shared::Shared;
 
@@ -164,6 +169,17 @@
         self.shared.execution_log.clear();
     }
 
+    /// Returns the signals that the server sent, and the arrivals after them.
+    #[must_use]
+    pub fn signals(&self) -> SignalRecord {
+        self.shared.signals.record()
+    }
+
+    /// Discards the recorded signals and arrivals.
+    pub fn clear_signals(&self) {
+        self.shared.signals.clear();
+    }
+
     /// Stops accepting new requests and announces the drain to every entry instance. Returns the number
     /// of entry instances that accepted the announcement.
     pub async fn drain(&self) -> usize {
--- a/crates/testkit/src/backend/serve.rs
+++ b/crates/testkit/src/backend/serve.rs
@@ -11,11 +11,11 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap};
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use radishpaddle_model::document::MAX_BODY;
 use serde_json::json;
@@ -23,10 +23,11 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 
-use super::FaultPlan;
 use super::record::{Execution, RECORDED_BODY_BYTES};
 use super::response::{BodyEnd, ExcessByteStream, ExcessBytes, ResponseBody, RunningExecution};
 use super::shared::Shared;
+use super::signal::{Arrival, ResponseKind};
+use super::{CallerIdentity, FaultPlan};
 use crate::caller::ADDRESSES_PATH;
 use crate::clock::now_us;
 
@@ -86,7 +87,7 @@
             () = incarnation_token.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, peer)) = accepted else {
             sleep(SOCKET_RETRY_DELAY).await;
             continue;
         };
@@ -94,13 +95,13 @@
         tokio::spawn(async move {
             tokio::select! {
                 () = incarnation_token.cancelled() => {}
-                () = serve_connection(&shared, stream) => {}
+                () = serve_connection(&shared, stream, peer) => {}
             }
         });
     }
 }
 
-async fn serve_connection(shared: &Arc<Shared>, stream: TcpStream) {
+async fn serve_connection(shared: &Arc<Shared>, stream: TcpStream, peer: SocketAddr) {
     // With Nagle's algorithm, small responses would wait for the acknowledgement of earlier ones.
     if stream.set_nodelay(true).is_err() {
         return;
@@ -109,33 +110,82 @@
     let io = TokioIo::new(ExcessByteStream::new(stream, Arc::clone(&excess)));
     let service = service_fn(|request| {
         let (shared, excess) = (Arc::clone(shared), Arc::clone(&excess));
-        async move { handle_with_id(shared, excess, request).await }
+        async move { handle_with_id(shared, excess, request, peer).await }
     });
     // Fails only when the peer or an injected fault closes the connection, or on malformed HTTP.
     let _ = http1::Builder::new().serve_connection(io, service).await;
 }
 
-/// Handles a request and echoes its id, without which the fleet does not reuse the connection.
+/// Handles a request, adds the headers of the fault plan and echoes the request id, without which the
+/// fleet does not reuse the connection.
 async fn handle_with_id(
     shared: Arc<Shared>,
     excess: Arc<ExcessBytes>,
     request: Request<Incoming>,
+    peer: SocketAddr,
 ) -> io::Result<BackendResponse> {
     let id = request.headers().get(REQUEST_ID).cloned();
-    let mut response = handle(shared, excess, request).await?;
+    let plan = shared.faults();
+    let incarnation = shared.incarnation();
+    let caller = caller_of(&shared, &request, peer);
+    let is_probe = is_probe(&request);
+    shared.signals.record_arrival(Arrival {
+        caller: caller.clone(),
+        incarnation,
+        at_us: now_us(),
+        path: path_with_query(request.uri()).to_owned(),
+        request_id: text(request.headers(), REQUEST_ID).map(ToOwned::to_owned),
+    });
+    let mut response = handle(Arc::clone(&shared), excess, request).await?;
+    let kind = response_kind(response.status(), is_probe);
+    for header in &plan.headers {
+        header.add_to(response.headers_mut(), kind);
+    }
+    let (status, headers) = (response.status(), response.headers());
+    let leaves = shared
+        .signals
+        .record_response(&caller, incarnation, status, headers);
+    if leaves && let Some(delay_ms) = plan.end_after_leaving_ms {
+        let delay = Duration::from_millis(delay_ms);
+        shared.end_later(incarnation, delay, plan.restart_after_ms);
+    }
     if let Some(id) = id {
         response.headers_mut().insert(REQUEST_ID, id);
     }
     Ok(response)
 }
 
+/// Returns the instance that sent the request.
+fn caller_of(shared: &Shared, request: &Request<Incoming>, peer: SocketAddr) -> String {
+    let prefix = match shared.settings.caller_identity {
+        CallerIdentity::PeerAddress => None,
+        CallerIdentity::RequestIdPrefix => text(request.headers(), REQUEST_ID)
+            .and_then(|id| id.rsplit_once('-'))
+            .map(|(prefix, _)| prefix.to_owned()),
+    };
+    prefix.unwrap_or_else(|| peer.ip().to_string())
+}
+
+fn is_probe(request: &Request<Incoming>) -> bool {
+    matches!(request.uri().path(), "/health" | "/load")
+}
+
+fn response_kind(status: StatusCode, is_probe: bool) -> ResponseKind {
+    match status {
+        _ if is_probe => ResponseKind::Probe,
+        StatusCode::SERVICE_UNAVAILABLE => ResponseKind::Shed,
+        status if status.is_success() => ResponseKind::Success,
+        _ => ResponseKind::Failure,
+    }
+}
+
 async fn handle(
     shared: Arc<Shared>,
     excess: Arc<ExcessBytes>,
     request: Request<Incoming>,
 ) -> io::Result<BackendResponse> {
     let arrival = Instant::now();
-    if matches!(request.uri().path(), "/health" | "/load") {
+    if is_probe(&request) {
         return Ok(probe_response(&shared).await);
     }
     if shared.settings.serves_address_requests && request.uri().path() == ADDRESSES_PATH {
@@ -159,7 +209,7 @@
         guard,
         _permit: permit,
     };
-    let path = path_with_query(&head);
+    let path = path_with_query(&head.uri);
     if plan.is_crash_trigger(path, &body) {
         shared.crash(plan.restart_after_ms);
         // The crash drops this task together with its connection.
@@ -331,7 +381,7 @@
         request_id: text(REQUEST_ID),
         operation: text("x-test-operation"),
         method: head.method.to_string(),
-        path: path_with_query(head).to_owned(),
+        path: path_with_query(&head.uri).to_owned(),
         headers: headers
             .map(|(name, value)| {
                 let value = String::from_utf8_lossy(value.as_bytes());
@@ -347,12 +397,15 @@
     }
 }
 
-fn path_with_query(head: &Parts) -> &str {
-    head.uri
-        .path_and_query()
+fn path_with_query(uri: &Uri) -> &str {
+    uri.path_and_query()
         .map_or("/", hyper::http::uri::PathAndQuery::as_str)
 }
 
 fn header_text<'a>(head: &'a Parts, name: &str) -> Option<&'a str> {
-    head.headers.get(name).and_then(|value| value.to_str().ok())
+    text(&head.headers, name)
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
 }
--- a/crates/testkit/src/backend/settings.rs
+++ b/crates/testkit/src/backend/settings.rs
@@ -4,7 +4,7 @@
 
 use radishpaddle_model::{AvailabilityZone, BackendServerId, Incarnation, ServiceId};
 
-use super::FaultPlan;
+use super::{CallerIdentity, FaultPlan};
 
 /// Settings of a sample backend server.
 #[derive(Debug, Clone)]
@@ -43,6 +43,8 @@
     pub cold_service_time_factor: f64,
     /// Service time of a health or load probe, in milliseconds.
     pub probe_service_time_ms: u64,
+    /// How the instances that call the server are told apart in its record of signals.
+    pub caller_identity: CallerIdentity,
     /// Number of filler bytes in each response body.
     pub response_filler_bytes: usize,
     /// Whether address requests are answered with the server's own address, so that callers can be measured
@@ -83,6 +85,7 @@
             cold_requests_per_incarnation: 0,
             cold_service_time_factor: 5.0,
             probe_service_time_ms: 25,
+            caller_identity: CallerIdentity::PeerAddress,
             response_filler_bytes: 0,
             serves_address_requests: false,
             max_recorded_executions: 200_000,
--- a/crates/testkit/src/backend/shared.rs
+++ b/crates/testkit/src/backend/shared.rs
@@ -13,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::record::ExecutionLog;
+use super::signal::SignalLog;
 use super::{BackendSettings, FaultPlan};
 use crate::clock::now_us;
 
@@ -49,6 +50,7 @@
     pub(super) settings: BackendSettings,
     pub(super) address: SocketAddr,
     pub(super) execution_log: Arc<ExecutionLog>,
+    pub(super) signals: SignalLog,
     pub(super) slots: Arc<Semaphore>,
     pub(super) waiting: AtomicUsize,
     /// Wakes the announcement task after a restart or a change of the entry instances.
@@ -101,6 +103,7 @@
             address,
             execution_log: Arc::new(ExecutionLog::new(settings.max_recorded_executions)),
             slots: Arc::new(Semaphore::new(settings.slots as usize)),
+            signals: SignalLog::default(),
             waiting: AtomicUsize::new(0),
             changed: Notify::new(),
             shed: AtomicU64::new(0),
@@ -173,6 +176,22 @@
         run_state.shutdown.cancel();
     }
 
+    /// Ends an incarnation after a delay as by a crash, unless another one runs by then.
+    pub(super) fn end_later(
+        self: &Arc<Self>,
+        incarnation: Incarnation,
+        delay: Duration,
+        restart_after_ms: Option<u64>,
+    ) {
+        let shared = Arc::clone(self);
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            if shared.incarnation() == incarnation {
+                shared.crash(restart_after_ms);
+            }
+        });
+    }
+
     /// Returns the delay between the last crash and the restart, or `None` if there is no restart.
     pub(super) fn restart_delay(&self) -> Option<Duration> {
         let delay_ms = lock(&self.run_state).restart_after_ms?;
--- a/crates/testkit/tests/backend.rs
+++ b/crates/testkit/tests/backend.rs
@@ -8,7 +8,8 @@
 use hyper::{Method, Request, StatusCode};
 use radishpaddle_model::{Announcement, BackendState};
 use radishpaddle_testkit::backend::{
-    self, BackendSettings, BackendStatus, FaultPlan, RunningBackend, digest,
+    self, BackendSettings, BackendStatus, CallerIdentity, FaultPlan, PAUSE_GRACE_US,
+    ResponseHeader, ResponseKind, RunningBackend, SignalRecord, digest,
 };
 use radishpaddle_testkit::http;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -385,3 +386,173 @@
     assert_eq!(answer.addresses[0].address, server.address());
     assert!(server.executions().is_empty());
 }
+
+/// Sends one request and returns the values of a response header in their order.
+async fn header_values(address: SocketAddr, path: &str, name: &str) -> Vec<String> {
+    let request = Request::get(path).body(Full::new(Bytes::new())).unwrap();
+    let mut connection = http::connect(address).await.unwrap();
+    let response = connection.send_request(request).await.unwrap();
+    let values = response.headers().get_all(name).iter();
+    values
+        .map(|value| String::from_utf8(value.as_bytes().to_vec()).unwrap())
+        .collect()
+}
+
+fn with_headers(headers: Vec<ResponseHeader>) -> FaultPlan {
+    FaultPlan {
+        headers,
+        ..FaultPlan::default()
+    }
+}
+
+/// Guards against a signal that is missing on one kind of response, appears on another kind, or loses one
+/// of several values.
+#[tokio::test]
+async fn headers_are_sent_on_the_kinds_of_responses_that_the_plan_names() {
+    use ResponseKind::{Failure, Probe, Shed, Success};
+    let failing = |plan: FaultPlan| FaultPlan {
+        error_share: 1.0,
+        ..plan
+    };
+    let shedding = |plan: FaultPlan| FaultPlan {
+        shed_share: 1.0,
+        ..plan
+    };
+    for kind in [Success, Failure, Shed, Probe] {
+        let header = |value| ResponseHeader::new("X-Leaving", value).only_on(&[kind]);
+        let plan = with_headers(vec![header("1"), header("0")]);
+        let server = start(FaultPlan::default()).await;
+        let mut carrying = Vec::new();
+        for (sent, path, plan) in [
+            (Success, "/jobs", plan.clone()),
+            (Failure, "/jobs", failing(plan.clone())),
+            (Shed, "/jobs", shedding(plan.clone())),
+            (Probe, "/health", plan.clone()),
+            (Probe, "/load", plan),
+        ] {
+            server.set_faults(plan);
+            let values = header_values(server.address(), path, "X-Leaving").await;
+            if !values.is_empty() {
+                assert_eq!(values, ["1", "0"]);
+                carrying.push(sent);
+            }
+        }
+        carrying.dedup();
+        assert_eq!(carrying, [kind]);
+    }
+}
+
+/// Guards against absurd values that the server corrects, drops or takes for a pause.
+#[tokio::test]
+async fn absurd_retry_after_values_are_sent_as_given_and_ask_for_no_pause() {
+    let long = "9".repeat(4_000);
+    let absurd = [
+        "-1",
+        "NaN",
+        "Wed, 21 Oct 2026 07:28:00 GMT",
+        "1e309",
+        "",
+        long.as_str(),
+    ];
+    let server = start(FaultPlan::default()).await;
+    for value in absurd {
+        server.set_faults(FaultPlan {
+            shed_share: 1.0,
+            ..with_headers(vec![ResponseHeader::new("Retry-After", value)])
+        });
+
+        let values = header_values(server.address(), "/", "Retry-After").await;
+
+        assert_eq!(values, [value]);
+    }
+    assert_eq!(server.signals(), SignalRecord::default());
+    server.set_faults(FaultPlan {
+        shed_share: 1.0,
+        ..with_headers(vec![ResponseHeader::new("Retry-After", "0.25")])
+    });
+    header_values(server.address(), "/", "Retry-After").await;
+    let pause = &server.signals().pauses[0];
+    assert_eq!(pause.until_us, pause.sent_us + 250_000);
+}
+
+/// Guards against a check of the drain that misses a caller which goes on after a leaving response, or
+/// blames another caller, and against a leaving server that ends at once or never.
+#[tokio::test]
+async fn leaving_server_goes_on_for_a_time_and_records_who_ignores_it() {
+    let mut settings = settings();
+    settings.caller_identity = CallerIdentity::RequestIdPrefix;
+    settings.faults = FaultPlan {
+        end_after_leaving_ms: Some(400),
+        ..with_headers(vec![ResponseHeader::new("X-Leaving", "1")])
+    };
+    let server = backend::spawn(settings).await.unwrap();
+
+    send_as(server.address(), "obeys-1").await.unwrap();
+    send_as(server.address(), "ignores-1").await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let status = send_as(server.address(), "ignores-2").await.unwrap();
+
+    assert_eq!(status, StatusCode::OK);
+    let signals = server.signals();
+    let told: Vec<_> = signals
+        .leaving
+        .iter()
+        .map(|signal| &signal.caller)
+        .collect();
+    assert_eq!(told, ["obeys", "ignores"]);
+    let late = signals.arrivals_after_leaving(50_000);
+    let late: Vec<_> = late.iter().map(|arrival| &arrival.request_id).collect();
+    assert_eq!(late, [&Some("ignores-2".to_owned())]);
+    assert!(signals.arrivals_after_leaving(10_000_000).is_empty());
+    wait_until(&server, |status| !status.up).await;
+    assert!(TcpStream::connect(server.address()).await.is_err());
+}
+
+async fn send_as(address: SocketAddr, request_id: &str) -> anyhow::Result<StatusCode> {
+    let request = Request::get("/")
+        .header("X-Request-Id", request_id)
+        .body(Full::new(Bytes::new()))?;
+    let response = http::connect(address).await?.send_request(request).await?;
+    Ok(response.status())
+}
+
+/// Guards against a check of the pause that misses a caller which goes on, counts the requests of the
+/// first half second or those after the end, or blames another caller.
+#[tokio::test]
+async fn pause_counts_the_arrivals_of_the_caller_that_was_asked() {
+    let mut settings = settings();
+    settings.caller_identity = CallerIdentity::RequestIdPrefix;
+    settings.control = Some(SocketAddr::from(([127, 0, 0, 1], 0)));
+    settings.faults = FaultPlan {
+        shed_share: 1.0,
+        ..with_headers(vec![ResponseHeader::new("Retry-After", "0.9")])
+    };
+    let server = backend::spawn(settings).await.unwrap();
+    let address = server.address();
+    for caller in ["obeys-1", "ignores-1"] {
+        let status = send_as(address, caller).await.unwrap();
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    server.set_faults(FaultPlan::default());
+
+    // Within the grace.
+    send_as(address, "ignores-2").await.unwrap();
+    assert_eq!(server.signals().max_arrivals_in_pause(), 0);
+    tokio::time::sleep(Duration::from_micros(PAUSE_GRACE_US + 50_000)).await;
+    for id in ["other-1", "ignores-3", "ignores-4", "ignores-5"] {
+        send_as(address, id).await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    for id in ["obeys-2", "ignores-6"] {
+        send_as(address, id).await.unwrap();
+    }
+
+    let signals = server.signals();
+    assert_eq!(signals.max_arrivals_in_pause(), 3);
+    assert!(signals.arrivals_in_pause(&signals.pauses[0]).is_empty());
+    let control = server.control_address().unwrap();
+    let none = Bytes::new();
+    let reply = http::call(control, Method::GET, "/signals", None, none, TIMEOUT);
+    let read: SignalRecord = serde_json::from_slice(&reply.await.unwrap().1).unwrap();
+    assert_eq!(read, signals);
+}
