entry: Send nothing new to servers that leave or want a pause

Cause: the entry read `X-Shed` from the responses of backend servers and nothing else. A server that left got requests until its drain had gone over the witnesses, and one that announced nothing got them until its lease ended. A server that shed with `Retry-After` got the next request some milliseconds later.

What callers saw: requests shed once more during each pause, and, with all servers of a service paused, retries within the budget and then 2017 without a time to return.

Responses with `X-Leaving: 1`, and `Retry-After` with a shed request, now go with the completion of the attempt to the service task. `ServerIntake` keeps them in the shared `IntakeTable` by name and incarnation, apart from the announced servers: only a higher incarnation ends leaving. The balancer gets such a server as one that takes no new requests, which covers requests, hedges, trials and retries. Idle connections of a leaving server close. Idle connections are now kept for one incarnation: a response of the old process on an old connection would otherwise have marked the new process as leaving for good. The response is delivered without `X-Leaving`, which a proxy in front would take for a signal of the entry instance.

All servers paused: 2006 at once, with the end of the first pause and the shared spread in whole seconds, rounded up, as HTTP has it. A retry is denied without use of the budget, and 2017 carries the same time.

Ejection, queue and balancer, weighed: the leader ejects by evidence, and a shed request is none, so a pause ejects nobody. It counts a paused server as in rotation, since it does not hear of pauses; telling it would change the sync message for a state that ends by itself. In the balancer a paused server counts like a draining one: in the base of the floor, not in the usable slots. The dispatch share of an instance was computed from all announced slots, draining ones included; it now has only those that take requests. Ruled out: waiting for a pause that ends before the deadline, since all that waited would reach the server at the same moment; a new result code, since 2006 says what is the case.

--- a/crates/e2e/src/fleet.rs
+++ b/crates/e2e/src/fleet.rs
@@ -15,7 +15,7 @@
 };
 use radishpaddle_kernel::CommonSettings;
 use radishpaddle_model::{AvailabilityZone, InstanceId};
-use radishpaddle_testkit::backend::{self, BackendSettings, RunningBackend};
+use radishpaddle_testkit::backend::{self, BackendSettings, CallerIdentity, RunningBackend};
 use radishpaddle_testkit::fault_proxy::{
     self, FaultProxySettings, Loss, ProxyPlan, RunningFaultProxy,
 };
@@ -439,6 +439,7 @@
                 token: BACKEND_TOKEN.to_owned(),
                 slots: self.plan.slots,
                 service_time_ms: self.plan.service_time_ms,
+                caller_identity: CallerIdentity::RequestIdPrefix,
                 seed: u64::try_from(number)? + 1,
                 ..BackendSettings::new(
                     SERVICE.parse()?,
--- a/crates/e2e/src/matrix_requests.rs
+++ b/crates/e2e/src/matrix_requests.rs
@@ -162,6 +162,56 @@
         )],
         uncovered_reason: "the drain runs under traffic, and no check shows that a request was at this step",
     },
+    Row {
+        kind: RowKind::Request,
+        fault: "backend server that says in its responses that it leaves",
+        guarantees: "P2, P3, P5, P6, P7, P8, P9",
+        covered: &[(
+            Step::BeforeDispatch,
+            "server_signals::leaving_server_gets_nothing_new_until_a_newer_incarnation",
+        )],
+        uncovered_reason: "a response that has begun or ended does not depend on the state of the server",
+    },
+    Row {
+        kind: RowKind::Request,
+        fault: "response that says that the server leaves",
+        guarantees: "P9",
+        covered: &[(
+            Step::AfterResponse,
+            "server_signals::response_of_a_leaving_server_is_delivered_without_the_header",
+        )],
+        uncovered_reason: "the header needs the response as a whole",
+    },
+    Row {
+        kind: RowKind::Request,
+        fault: "backend server that asks for a pause",
+        guarantees: "P2, P3, P5, P6, P7, P8, P1",
+        covered: &[(
+            Step::BeforeDispatch,
+            "server_signals::paused_server_gets_at_most_two_requests_and_work_after_the_pause",
+        )],
+        uncovered_reason: "a server that asks for a pause has not started the request",
+    },
+    Row {
+        kind: RowKind::Request,
+        fault: "all backend servers ask for a pause",
+        guarantees: "P2, P3, P5, P6, P7, P8, P1",
+        covered: &[(
+            Step::BeforeDispatch,
+            "server_signals::pause_of_all_servers_refuses_at_once_with_a_time_to_return",
+        )],
+        uncovered_reason: "no request is sent on",
+    },
+    Row {
+        kind: RowKind::Request,
+        fault: "absurd signal in a response",
+        guarantees: "P2, P3, P5, P6, P7, P8, P1",
+        covered: &[(
+            Step::AfterResponse,
+            "server_signals::absurd_signals_are_ignored_and_counted",
+        )],
+        uncovered_reason: "the header needs the response as a whole",
+    },
     Row {
         kind: RowKind::Request,
         fault: "loss caller to entry",
--- a/crates/e2e/src/scenario.rs
+++ b/crates/e2e/src/scenario.rs
@@ -86,6 +86,12 @@
         Caller::new(settings, Some(self.recorder.clone()))
     }
 
+    /// Returns the API key of the first organisation.
+    #[must_use]
+    pub fn key(&self) -> &str {
+        &self.keys[0].key
+    }
+
     /// Creates a caller of the first organisation that uses all entry instances in turn.
     #[must_use]
     pub fn round_robin_caller(&self, max_attempts: u32) -> Caller {
@@ -164,6 +170,19 @@
         is_out_of_rotation(&self.standing(entry, backend))
     }
 
+    /// Returns what an entry instance has learnt from the responses of a backend server about new
+    /// requests, as on its status page, or an empty text if it does not know the server.
+    #[must_use]
+    pub fn intake(&self, entry: usize, backend: usize) -> String {
+        let name = format!("{SERVICE}-{}", backend + 1);
+        let status = self.status(entry).unwrap_or_default();
+        let servers = status["services"][SERVICE]["servers"].as_array();
+        let mut servers = servers.into_iter().flatten();
+        let server = servers.find(|server| server["backend_server"] == name.as_str());
+        let intake = server.and_then(|server| server["intake"].as_str());
+        intake.unwrap_or_default().to_owned()
+    }
+
     /// Returns whether an entry instance reports that its configuration is fresh.
     #[must_use]
     pub fn is_fresh(&self, entry: usize) -> bool {
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -23,11 +23,12 @@
 use crate::clock::Clock;
 use crate::forward::{API_KEY, ForwardRequest, ORGANISATION};
 use crate::poison_task::{DispatchPermission, LostRequest, PoisonHandle, TicketClient};
-use crate::service_handle::{AcquireRequest, Grant, ServiceHandle};
+use crate::server_intake::{LEAVING_HEADER, ServerSignals};
+use crate::service_handle::{AcquireRequest, Grant, NotRun, RetryDecision, ServiceHandle};
 
 /// Response header with which a backend server sheds a request, that is, refuses it without having
 /// started it.
-const SHED_HEADER: &str = "x-shed";
+pub(crate) const SHED_HEADER: &str = "x-shed";
 
 /// Inputs and state of the attempts of one request.
 pub struct RequestExecutor {
@@ -68,11 +69,24 @@
     /// A backend server returned a complete response.
     Answered(CallerResponse),
     /// No backend server has started the request.
-    NotRun(ResultCode),
+    NotRun(NotRun),
     /// A backend server may have run the request.
     Unknown(ResultCode),
 }
 
+impl RequestOutcome {
+    /// Adds the time after which the caller should return to a request that was not run.
+    fn with_retry_after(self, retry_after: Option<Duration>) -> Self {
+        match self {
+            Self::NotRun(reason) => Self::NotRun(NotRun {
+                retry_after,
+                ..reason
+            }),
+            Self::Answered(_) | Self::Unknown(_) => self,
+        }
+    }
+}
+
 struct AttemptResult {
     server: Arc<BackendInfo>,
     outcome: AttemptOutcome,
@@ -96,7 +110,9 @@
         let mut ticket = match self.dispatch_permission().await {
             DispatchPermission::Run => None,
             DispatchPermission::Ticket(ticket, _) => Some(ticket),
-            DispatchPermission::Refused => return RequestOutcome::NotRun(ResultCode::Quarantined),
+            DispatchPermission::Refused => {
+                return RequestOutcome::NotRun(ResultCode::Quarantined.into());
+            }
         };
         loop {
             let grant = match self
@@ -105,8 +121,10 @@
                 .await
             {
                 Ok(grant) => grant,
-                Err(code) if attempts == 0 => return RequestOutcome::NotRun(code),
-                Err(_) => return RequestOutcome::NotRun(ResultCode::Overloaded),
+                Err(reason) if attempts == 0 || reason.retry_after.is_some() => {
+                    return RequestOutcome::NotRun(reason);
+                }
+                Err(_) => return RequestOutcome::NotRun(ResultCode::Overloaded.into()),
             };
             let grant = Grant {
                 hedge_after: grant.hedge_after.filter(|_| ticket.is_none()),
@@ -128,10 +146,12 @@
                 remaining: self.remaining(),
                 expected_service: Duration::ZERO,
             };
-            let Some(delay) = self.service.request_retry(failed, self.class).await else {
-                return failure.final_outcome;
-            };
-            tokio::time::sleep(delay).await;
+            match self.service.request_retry(failed, self.class).await {
+                RetryDecision::After(delay) => tokio::time::sleep(delay).await,
+                RetryDecision::Denied { retry_after } => {
+                    return failure.final_outcome.with_retry_after(retry_after);
+                }
+            }
             // The request may have become suspect through the failed attempt.
             ticket = match self.dispatch_permission().await {
                 DispatchPermission::Run => None,
@@ -277,7 +297,10 @@
             }
             Err(failure) => (AttemptOutcome::NotSent(failure), None),
         };
-        grant.finish(completion_of(&outcome), connection).await;
+        let signals = signals_of(&outcome);
+        grant
+            .finish(completion_of(&outcome), connection, signals)
+            .await;
         AttemptResult { server, outcome }
     }
 
@@ -297,6 +320,7 @@
 
     fn caller_response(&self, mut response: BackendResponse) -> CallerResponse {
         http_headers::strip_response_headers(&mut response.headers, self.request.is_head());
+        response.headers.remove(LEAVING_HEADER);
         response.headers.remove(API_KEY);
         response.headers.remove(ORGANISATION);
         CallerResponse {
@@ -316,7 +340,7 @@
             AttemptOutcome::Answered(response) if is_shed(&response) => {
                 Err(Box::new(RetryableFailure {
                     fault: AttemptFault::Shed,
-                    final_outcome: RequestOutcome::NotRun(ResultCode::Shed),
+                    final_outcome: RequestOutcome::NotRun(ResultCode::Shed.into()),
                 }))
             }
             AttemptOutcome::Answered(response)
@@ -332,7 +356,7 @@
             }
             AttemptOutcome::NotSent(_) => Err(Box::new(RetryableFailure {
                 fault: AttemptFault::ConnectFailed,
-                final_outcome: RequestOutcome::NotRun(ResultCode::BackendUnreachable),
+                final_outcome: RequestOutcome::NotRun(ResultCode::BackendUnreachable.into()),
             })),
             AttemptOutcome::Unknown(failure) => Err(Box::new(possibly_executed_failure(failure))),
         }
@@ -373,6 +397,15 @@
     response.status == StatusCode::SERVICE_UNAVAILABLE && response.headers.contains_key(SHED_HEADER)
 }
 
+fn signals_of(outcome: &AttemptOutcome) -> ServerSignals {
+    match outcome {
+        AttemptOutcome::Answered(response) => {
+            ServerSignals::of_response(response.status, &response.headers)
+        }
+        AttemptOutcome::NotSent(_) | AttemptOutcome::Unknown(_) => ServerSignals::default(),
+    }
+}
+
 fn completion_of(outcome: &AttemptOutcome) -> Completion {
     match outcome {
         AttemptOutcome::Answered(response) if is_shed(response) => Completion::Shed,
--- a/crates/entry/src/caller_response.rs
+++ b/crates/entry/src/caller_response.rs
@@ -1,8 +1,10 @@
 //! Responses to callers: responses of backend servers, recorded responses and refusals.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use radishpaddle_model::{Refusal, ResultCode};
 
@@ -37,7 +39,7 @@
         let mut headers = HeaderMap::new();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         if matches!(code, ResultCode::RateExceeded | ResultCode::Overloaded) {
-            headers.insert(hyper::header::RETRY_AFTER, HeaderValue::from_static("1"));
+            headers.insert(RETRY_AFTER, HeaderValue::from_static("1"));
         }
         Self {
             code,
@@ -47,6 +49,18 @@
         }
     }
 
+    /// Sets `Retry-After`, in whole seconds as HTTP requires, rounded up. The rounding spreads callers
+    /// that are refused at different times over a further second.
+    #[must_use]
+    pub fn with_retry_after(mut self, wait: Option<Duration>) -> Self {
+        if let Some(wait) = wait {
+            let seconds = wait.as_secs() + u64::from(wait.subsec_nanos() > 0);
+            let value = HeaderValue::from(seconds.max(1));
+            self.headers.insert(RETRY_AFTER, value);
+        }
+        self
+    }
+
     /// Creates a response with a JSON document.
     #[must_use]
     pub fn json(value: &serde_json::Value) -> Self {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod config_store;
 pub mod fleet_view;
 pub mod forward;
+pub mod idle_connections;
 pub mod leader_state;
 pub mod metrics;
 pub mod peer_handler;
@@ -22,6 +23,8 @@
 pub mod poll_task;
 pub mod refusal_log;
 pub mod request_handler;
+
+pub mod server_intake;
 pub mod service_handle;
 pub mod service_task;
 pub mod services;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+};
 use radishpaddle_model::ResultCode;
 
 /// Upper bounds of the buckets of the request duration histogram, in seconds.
@@ -91,3 +93,52 @@
         }
     }
 }
+
+/// Metrics of what backend servers say in their responses about new requests.
+#[derive(Clone)]
+pub struct ServerSignalMetrics {
+    signals_total: IntCounterVec,
+    paused: IntGaugeVec,
+}
+
+impl ServerSignalMetrics {
+    /// Creates the metrics and registers them.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a metric of the same name is already registered.
+    pub fn register(registry: &Registry) -> Result<Self> {
+        let metrics = Self {
+            signals_total: IntCounterVec::new(
+                Opts::new(
+                    "radishpaddle_server_signals_total",
+                    "Responses of backend servers with a signal",
+                ),
+                &["service", "signal"],
+            )?,
+            paused: IntGaugeVec::new(
+                Opts::new(
+                    "radishpaddle_backend_servers_paused",
+                    "Backend servers that want a pause from this instance",
+                ),
+                &["service"],
+            )?,
+        };
+        registry.register(Box::new(metrics.signals_total.clone()))?;
+        registry.register(Box::new(metrics.paused.clone()))?;
+        Ok(metrics)
+    }
+
+    /// Counts signals of one kind.
+    pub fn add(&self, service: &str, signal: &str, count: u64) {
+        if count > 0 {
+            let counter = self.signals_total.with_label_values(&[service, signal]);
+            counter.inc_by(count);
+        }
+    }
+
+    /// Sets the number of paused backend servers of a service.
+    pub fn set_paused(&self, service: &str, servers: i64) {
+        self.paused.with_label_values(&[service]).set(servers);
+    }
+}
--- a/crates/entry/src/plugins.rs
+++ b/crates/entry/src/plugins.rs
@@ -24,7 +24,7 @@
 use crate::clock::Clock;
 use crate::config_store::ConfigStore;
 use crate::fleet_view::{FleetView, FleetViewReceiver};
-use crate::metrics::RequestMetrics;
+use crate::metrics::{RequestMetrics, ServerSignalMetrics};
 use crate::peer_handler::EntryPeerHandler;
 use crate::poison_task::{PoisonHandle, TicketClient};
 use crate::poll_task::{self, PollInputs};
@@ -59,6 +59,7 @@
         context.provide(Arc::new(view));
         context.provide(Arc::new(fleet));
         context.provide(Arc::new(RequestMetrics::register(&context.metrics)?));
+        context.provide(Arc::new(ServerSignalMetrics::register(&context.metrics)?));
         let extra = status::paths(Arc::clone(&context), tokio::runtime::Handle::current());
         let server = AdminServer::bind(settings.common.admin_listen, &context, extra)?;
         Ok(PluginHandle::from_drop_guard(server))
@@ -160,6 +161,7 @@
             ConfigStore::clone(&*context.get::<ConfigStore>()?),
             FleetViewReceiver::clone(&*context.get::<FleetViewReceiver>()?),
             settings.limits.clone(),
+            ServerSignalMetrics::clone(&*context.get::<ServerSignalMetrics>()?),
             *context.get::<Clock>()?,
         );
         context.provide(Arc::new(services));
--- a/crates/entry/src/refusal_log.rs
+++ b/crates/entry/src/refusal_log.rs
@@ -6,10 +6,12 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use hyper::header::RETRY_AFTER;
 use radishpaddle_kernel::Journal;
 use radishpaddle_model::ResultCode;
 use serde_json::json;
 
+use crate::caller_response::CallerResponse;
 use crate::metrics::RequestLabels;
 
 /// Minimum time between two events of one kind.
@@ -58,10 +60,11 @@
     pub fn record(
         &self,
         labels: RequestLabels<'_>,
-        code: ResultCode,
+        refusal: &CallerResponse,
         request_id: &str,
         now: Duration,
     ) {
+        let code = refusal.code;
         let kind = RefusalKind {
             service: labels.service.into(),
             organisation: labels.organisation.into(),
@@ -91,6 +94,7 @@
             "outcome": code.outcome(),
             "route": labels.route,
             "request_id": request_id,
+            "retry_after_s": retry_after_s(refusal),
             "more_since_the_last_event": suppressed,
         });
         let subject = (!labels.organisation.is_empty()).then_some(labels.organisation);
@@ -98,3 +102,8 @@
         self.journal.record("refused", service, subject, detail);
     }
 }
+
+fn retry_after_s(refusal: &CallerResponse) -> Option<u64> {
+    let value = refusal.headers.get(RETRY_AFTER)?;
+    value.to_str().ok()?.parse().ok()
+}
--- a/crates/entry/src/request_handler.rs
+++ b/crates/entry/src/request_handler.rs
@@ -134,8 +134,7 @@
             .record_finished(labels, response.code, started_at.elapsed());
         if response.code.outcome() != Outcome::Done {
             let now = self.clock.now();
-            self.refusal_log
-                .record(labels, response.code, request_id, now);
+            self.refusal_log.record(labels, &response, request_id, now);
         }
         response
     }
@@ -349,7 +348,10 @@
 fn caller_response(outcome: RequestOutcome) -> CallerResponse {
     match outcome {
         RequestOutcome::Answered(response) => response,
-        RequestOutcome::NotRun(code) => CallerResponse::refusal(code, not_run_message(code)),
+        RequestOutcome::NotRun(reason) => {
+            CallerResponse::refusal(reason.code, not_run_message(reason.code))
+                .with_retry_after(reason.retry_after)
+        }
         RequestOutcome::Unknown(code) => {
             CallerResponse::refusal(code, "the backend server may have run the request")
         }
--- a/crates/entry/src/service_handle.rs
+++ b/crates/entry/src/service_handle.rs
@@ -13,6 +13,7 @@
 
 use crate::backend_connection::BackendConnection;
 use crate::backend_info::BackendInfo;
+use crate::server_intake::ServerSignals;
 
 /// Request for a backend server for one attempt.
 #[derive(Debug)]
@@ -50,7 +51,7 @@
 /// Reports the completion of an attempt to the service task, on drop as cancelled.
 #[derive(Debug)]
 pub(crate) struct CompletionReporter {
-    pub(crate) server: ServerKey,
+    pub(crate) server: Arc<BackendInfo>,
     pub(crate) dispatch: DispatchId,
     pub(crate) class: RequestClass,
     pub(crate) commands: mpsc::Sender<Command>,
@@ -62,12 +63,43 @@
 pub struct FinishedAttempt {
     pub(crate) dispatch: DispatchId,
     pub(crate) class: RequestClass,
-    pub(crate) server: ServerKey,
+    pub(crate) server: Arc<BackendInfo>,
     pub(crate) completion: Completion,
     pub(crate) connection: Option<BackendConnection>,
+    pub(crate) signals: ServerSignals,
 }
 
-pub(crate) type AcquireReplySender = oneshot::Sender<Result<Grant, ResultCode>>;
+/// Reason why a request gets no backend server. It was not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NotRun {
+    /// Result code of the refusal.
+    pub code: ResultCode,
+    /// Time after which the caller should return, if that is known.
+    pub retry_after: Option<Duration>,
+}
+
+impl From<ResultCode> for NotRun {
+    fn from(code: ResultCode) -> Self {
+        Self {
+            code,
+            retry_after: None,
+        }
+    }
+}
+
+/// Whether a failed attempt is followed by another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryDecision {
+    /// The next attempt may start after this delay.
+    After(Duration),
+    /// There is no further attempt.
+    Denied {
+        /// Time after which the caller should return, if every backend server wants a pause.
+        retry_after: Option<Duration>,
+    },
+}
+
+pub(crate) type AcquireReplySender = oneshot::Sender<Result<Grant, NotRun>>;
 
 /// Command for the task of a service.
 pub(crate) enum Command {
@@ -80,11 +112,7 @@
     Acquire(AcquireRequest, AcquireReplySender),
     Hedge(AcquireRequest, HedgeQuery, oneshot::Sender<Option<Grant>>),
     AttemptFinished(FinishedAttempt),
-    Retry(
-        FailedAttempt,
-        RequestClass,
-        oneshot::Sender<Option<Duration>>,
-    ),
+    Retry(FailedAttempt, RequestClass, oneshot::Sender<RetryDecision>),
     TakeEvidence(oneshot::Sender<Vec<EvidenceCell>>),
     Status(oneshot::Sender<ServiceStatus>),
 }
@@ -111,6 +139,8 @@
     pub address: std::net::SocketAddr,
     /// Announced state of the server.
     pub state: radishpaddle_model::BackendState,
+    /// Whether the server takes new requests, as its own responses to this instance say.
+    pub intake: String,
     /// Number of requests in flight from this instance.
     pub in_flight: u32,
     /// Standing under the verdicts of the witness leader that are in force.
@@ -126,30 +156,42 @@
 }
 
 impl Grant {
-    /// Reports the completion of the attempt and returns the connection if it can be reused.
-    pub async fn finish(self, completion: Completion, connection: Option<BackendConnection>) {
-        self.reporter.finish(completion, connection).await;
+    /// Reports the completion of the attempt with the signals of the response, and returns the
+    /// connection if it can be reused.
+    pub async fn finish(
+        self,
+        completion: Completion,
+        connection: Option<BackendConnection>,
+        signals: ServerSignals,
+    ) {
+        self.reporter.finish(completion, connection, signals).await;
     }
 }
 
 impl CompletionReporter {
-    async fn finish(mut self, completion: Completion, connection: Option<BackendConnection>) {
+    async fn finish(
+        mut self,
+        completion: Completion,
+        connection: Option<BackendConnection>,
+        signals: ServerSignals,
+    ) {
         self.finished = true;
-        let finished = self.finished(completion, connection);
+        let finished = FinishedAttempt {
+            connection,
+            signals,
+            ..self.finished(completion)
+        };
         let _ = self.commands.send(Command::AttemptFinished(finished)).await;
     }
 
-    fn finished(
-        &self,
-        completion: Completion,
-        connection: Option<BackendConnection>,
-    ) -> FinishedAttempt {
+    fn finished(&self, completion: Completion) -> FinishedAttempt {
         FinishedAttempt {
             dispatch: self.dispatch,
             class: self.class,
-            server: self.server,
+            server: Arc::clone(&self.server),
             completion,
-            connection,
+            connection: None,
+            signals: ServerSignals::default(),
         }
     }
 }
@@ -159,7 +201,7 @@
         if self.finished {
             return;
         }
-        let finished = Command::AttemptFinished(self.finished(Completion::Cancelled, None));
+        let finished = Command::AttemptFinished(self.finished(Completion::Cancelled));
         if let Err(mpsc::error::TrySendError::Full(command)) = self.commands.try_send(finished) {
             // If the report were lost, the request would count as in flight for ever.
             let commands = self.commands.clone();
@@ -207,14 +249,14 @@
     ///
     /// # Errors
     ///
-    /// Returns the result code for the refusal. The request was not run.
-    pub async fn acquire(&self, request: AcquireRequest) -> Result<Grant, ResultCode> {
+    /// Returns the reason for the refusal. The request was not run.
+    pub async fn acquire(&self, request: AcquireRequest) -> Result<Grant, NotRun> {
         let (reply, response) = oneshot::channel();
         let command = Command::Acquire(request, reply);
         if self.commands.send(command).await.is_err() {
-            return Err(ResultCode::NoRoute);
+            return Err(ResultCode::NoRoute.into());
         }
-        response.await.unwrap_or(Err(ResultCode::NoRoute))
+        response.await.unwrap_or(Err(ResultCode::NoRoute.into()))
     }
 
     /// Requests a second server for a request in flight; `None` if the hedge is not permitted.
@@ -225,17 +267,15 @@
         response.await.ok().flatten()
     }
 
-    /// Requests a retry after a failed attempt. Returns the delay before the next attempt, or
-    /// `None` if the retry is not permitted.
-    pub async fn request_retry(
-        &self,
-        failed: FailedAttempt,
-        class: RequestClass,
-    ) -> Option<Duration> {
+    /// Requests a retry after a failed attempt.
+    pub async fn request_retry(&self, failed: FailedAttempt, class: RequestClass) -> RetryDecision {
+        const TASK_ENDED: RetryDecision = RetryDecision::Denied { retry_after: None };
         let (reply, response) = oneshot::channel();
         let command = Command::Retry(failed, class, reply);
-        self.commands.send(command).await.ok()?;
-        response.await.ok().flatten()
+        if self.commands.send(command).await.is_err() {
+            return TASK_ENDED;
+        }
+        response.await.unwrap_or(TASK_ENDED)
     }
 
     /// Takes the evidence that was recorded since the last call.
--- a/crates/entry/src/service_task.rs
+++ b/crates/entry/src/service_task.rs
@@ -6,26 +6,30 @@
 use std::time::Duration;
 
 use radishpaddle_kernel::Context;
-use radishpaddle_model::{ResultCode, ServiceDocument};
+use radishpaddle_model::{BackendState, ResultCode, ServiceDocument};
 use radishpaddle_policy::balancer::subset_size;
 use radishpaddle_policy::budget::{FailedAttempt, RepeatBudget};
 use radishpaddle_policy::fair_queue::{FairQueue, QueueLimits, Refused, Waiting};
 use radishpaddle_policy::hedge::{HedgeClass, HedgeQuery};
+use radishpaddle_policy::intake::spread_retry_after;
 use radishpaddle_policy::{
-    Balancer, Completion, PathAvoidance, Pick, PickRequest, Recorder, RequestClass, ServerKey,
-    VerdictView,
+    Balancer, Completion, Member, NoNewRequests, PathAvoidance, Pick, PickRequest, Recorder,
+    RequestClass, ServerKey, VerdictView,
 };
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng};
 use tokio::sync::mpsc;
 
 use crate::backend_connection::BackendConnection;
 use crate::backend_info::BackendInfo;
 use crate::clock::Clock;
+use crate::idle_connections::{IdleConnections, process_of};
+use crate::server_intake::{ServerIntake, describe, pause_end};
 use crate::service_handle::{
     AcquireReplySender, AcquireRequest, Command, CompletionReporter, FinishedAttempt, Grant,
-    ServerStatus, ServiceHandle, ServiceStatus,
+    NotRun, RetryDecision, ServerStatus, ServiceHandle, ServiceStatus,
 };
+use crate::settings::LimitSettings;
 
 /// Capacity of the command channel of the task.
 const COMMAND_QUEUE_CAPACITY: usize = 4096;
@@ -49,21 +53,20 @@
 /// Maximum number of connections from one entry instance to one backend server.
 const MAX_INSTANCE_CONNECTIONS_PER_SERVER: usize = 8;
 
-/// Starts the task of a service. `queue_length` limits the queued requests, `max_idle_per_server`
-/// the idle connections to each backend server.
+/// Starts the task of a service.
 #[must_use]
 pub fn spawn(
     document: Arc<ServiceDocument>,
     context: &Context,
     clock: Clock,
-    queue_length: usize,
-    max_idle_per_server: usize,
+    intake: ServerIntake,
+    limits: &LimitSettings,
 ) -> ServiceHandle {
     let (commands, receiver) = mpsc::channel(COMMAND_QUEUE_CAPACITY);
     let now = clock.now();
-    let limits = QueueLimits {
-        per_organisation: queue_length,
-        total: queue_length,
+    let queue_limits = QueueLimits {
+        per_organisation: limits.queue_length,
+        total: limits.queue_length,
     };
     let task = ServiceTask {
         clock,
@@ -71,12 +74,14 @@
         verdicts: VerdictView::new(context.instance.clone()),
         path_avoidance: PathAvoidance::new(),
         recorder: Recorder::new(),
-        queue: FairQueue::new(limits),
+        queue: FairQueue::new(queue_limits),
         budget: RepeatBudget::new(&document.retry, now),
         hedge_classes: HashMap::new(),
         servers: HashMap::new(),
-        idle_connections: HashMap::new(),
-        max_idle_per_server,
+        intake,
+        open_slots: 0,
+        first_pause_end: None,
+        idle_connections: IdleConnections::new(limits.idle_connections_per_server),
         average_others_in_flight: HashMap::new(),
         own_in_flight: 0,
         instances: 1,
@@ -99,8 +104,13 @@
     budget: RepeatBudget,
     hedge_classes: HashMap<RequestClass, HedgeClass>,
     servers: HashMap<ServerKey, Arc<BackendInfo>>,
-    idle_connections: HashMap<ServerKey, Vec<BackendConnection>>,
-    max_idle_per_server: usize,
+    /// What the servers said in their responses about new requests.
+    intake: ServerIntake,
+    /// Slots of the servers that take new requests.
+    open_slots: u32,
+    /// Earliest end of the pauses of the serving servers.
+    first_pause_end: Option<Duration>,
+    idle_connections: IdleConnections,
     average_others_in_flight: HashMap<ServerKey, f64>,
     own_in_flight: u32,
     instances: usize,
@@ -126,6 +136,7 @@
 
     fn handle(&mut self, command: Command) {
         let now = self.clock.now();
+        self.end_pauses(now);
         match command {
             Command::Configure(document) => self.configure(document),
             Command::SetServers(servers, instances) => self.set_servers(servers, instances),
@@ -141,13 +152,7 @@
             }
             Command::AttemptFinished(finished) => self.complete_attempt(finished, now),
             Command::Retry(failed, class, reply) => {
-                let failed = FailedAttempt {
-                    expected_service: self.expected_service(class),
-                    ..failed
-                };
-                let permitted = self.budget.try_retry(now, &failed);
-                let delay = permitted.map(|()| RepeatBudget::retry_delay(&failed));
-                let _ = reply.send(delay.ok());
+                let _ = reply.send(self.decide_retry(failed, class, now));
             }
             Command::TakeEvidence(reply) => {
                 let _ = reply.send(self.recorder.drain(now));
@@ -178,22 +183,47 @@
 
     fn set_servers(&mut self, servers: Vec<Arc<BackendInfo>>, instances: usize) {
         self.instances = instances.max(1);
-        self.servers = servers
-            .into_iter()
-            .map(|server| (server.key, server))
-            .collect();
+        let now = self.clock.now();
+        let servers = servers.into_iter().map(|server| (server.key, server));
+        self.servers = servers.collect();
+        for server in self.servers.values() {
+            self.intake.announced(server, now);
+        }
         let known = &self.servers;
-        self.idle_connections
-            .retain(|server, _| known.contains_key(server));
+        self.idle_connections.retain(|key, process| {
+            let server = known.get(&key);
+            server.is_some_and(|server| process_of(server) == process)
+        });
         self.update_members();
     }
 
+    /// Lets the servers whose pause is over take requests again.
+    fn end_pauses(&mut self, now: Duration) {
+        if self.intake.end_pauses(now) {
+            self.update_members();
+        }
+    }
+
+    /// Returns a server as a member for the balancer. One that has said that it leaves or wants a
+    /// pause takes no new requests, like a draining one, and stays in the base of the capacity floor.
+    fn member(&self, server: &BackendInfo, now: Duration) -> Member {
+        Member {
+            draining: !self.intake.takes_requests(server, now),
+            ..server.member()
+        }
+    }
+
     fn update_members(&mut self) {
-        let members: Vec<_> = self
-            .servers
-            .values()
-            .map(|server| server.member())
-            .collect();
+        let now = self.clock.now();
+        let servers = self.servers.values();
+        let members: Vec<_> = servers.map(|server| self.member(server, now)).collect();
+        let open = members.iter().filter(|member| !member.draining);
+        self.open_slots = open.map(|member| member.slots).sum();
+        let serving = self.servers.values();
+        let serving = serving.filter(|server| server.state == BackendState::Serving);
+        self.first_pause_end = serving
+            .filter_map(|server| pause_end(self.intake.refusal(server, now)))
+            .min();
         let subset = subset_size(
             members.len(),
             self.instances,
@@ -232,8 +262,8 @@
         if request.is_first_attempt {
             self.budget.record_first_attempt(now);
         }
-        if self.servers.is_empty() {
-            let _ = reply.send(Err(ResultCode::NoBackendServer));
+        if self.servers.is_empty() || self.are_all_paused() {
+            let _ = reply.send(Err(self.no_server(now)));
             return;
         }
         let waiting = Waiting {
@@ -253,11 +283,53 @@
         }
     }
 
+    /// Returns whether no server takes requests, and at least one of them because it wants a pause.
+    const fn are_all_paused(&self) -> bool {
+        self.open_slots == 0 && self.first_pause_end.is_some()
+    }
+
+    /// Returns the refusal of a request for which there is no server. With paused servers, it tells the
+    /// caller when to return.
+    fn no_server(&mut self, now: Duration) -> NotRun {
+        NotRun {
+            code: ResultCode::NoBackendServer,
+            retry_after: self.time_to_return(now),
+        }
+    }
+
+    /// Returns the time after which refused callers should return: the end of the first pause with a
+    /// random spread; `None` if no server wants a pause.
+    fn time_to_return(&mut self, now: Duration) -> Option<Duration> {
+        let first_end = self.first_pause_end?;
+        Some(spread_retry_after(first_end, now, self.rng.random()))
+    }
+
+    fn decide_retry(
+        &mut self,
+        failed: FailedAttempt,
+        class: RequestClass,
+        now: Duration,
+    ) -> RetryDecision {
+        if self.are_all_paused() {
+            let retry_after = self.time_to_return(now);
+            return RetryDecision::Denied { retry_after };
+        }
+        let failed = FailedAttempt {
+            expected_service: self.expected_service(class),
+            ..failed
+        };
+        match self.budget.try_retry(now, &failed) {
+            Ok(()) => RetryDecision::After(RepeatBudget::retry_delay(&failed)),
+            Err(_) => RetryDecision::Denied { retry_after: None },
+        }
+    }
+
     /// Dispatches queued requests while a server has a free slot, or while this instance uses less
     /// than its share of the slots. The share lets the instance dispatch even if its view of the
     /// load of others is out of date.
     fn dispatch_queued(&mut self) {
         let now = self.clock.now();
+        self.end_pauses(now);
         let mut refused = Vec::new();
         self.queue.expire(now, &mut refused);
         while !self.queue.is_empty() && self.has_capacity(now) {
@@ -268,10 +340,13 @@
             if reply.is_closed() {
                 continue;
             }
-            let grant = self.pick(&request, now).map_or_else(
-                || Err(ResultCode::NoBackendServer),
-                |pick| self.grant(&request, pick, now).ok_or(ResultCode::NoRoute),
-            );
+            let grant = match self.pick(&request, now) {
+                Some(pick) => {
+                    let grant = self.grant(&request, pick, now);
+                    grant.ok_or_else(|| ResultCode::NoRoute.into())
+                }
+                None => Err(self.no_server(now)),
+            };
             let _ = reply.send(grant);
         }
         refused.into_iter().for_each(reply_refused);
@@ -297,9 +372,8 @@
     }
 
     fn fair_slot_share(&self) -> u32 {
-        let slots: u32 = self.servers.values().map(|server| server.slots).sum();
         let instances = u32::try_from(self.instances).unwrap_or(u32::MAX);
-        slots.div_ceil(instances).max(1)
+        self.open_slots.div_ceil(instances).max(1)
     }
 
     fn pick(&mut self, request: &AcquireRequest, now: Duration) -> Option<Pick> {
@@ -334,15 +408,15 @@
             .dispatched(pick.server, request.class, pick.over_slots, now);
         self.balancer.dispatched(pick.server);
         self.own_in_flight += 1;
-        let connection = self.idle_connection(pick.server, request.idempotent);
+        let connection = self.idle_connections.take(&server, request.idempotent);
         let class = self.hedge_classes.get(&request.class);
         let hedged = request.idempotent && self.document.retry.hedge;
         Some(Grant {
             connection,
-            server,
+            server: Arc::clone(&server),
             hedge_after: class.filter(|_| hedged).and_then(|class| class.delay(None)),
             reporter: CompletionReporter {
-                server: pick.server,
+                server,
                 dispatch,
                 class: request.class,
                 commands,
@@ -351,26 +425,6 @@
         })
     }
 
-    /// Takes the most recently used idle connection. The limit for actions is shorter: if the
-    /// server closed the idle connection while the action is sent, the outcome of the action would
-    /// be unknown.
-    fn idle_connection(
-        &mut self,
-        server: ServerKey,
-        idempotent: bool,
-    ) -> Option<BackendConnection> {
-        const MAX_IDLE: Duration = Duration::from_secs(10);
-        const MAX_IDLE_FOR_ACTION: Duration = Duration::from_millis(500);
-        let limit = if idempotent {
-            MAX_IDLE
-        } else {
-            MAX_IDLE_FOR_ACTION
-        };
-        let idle = self.idle_connections.get_mut(&server)?;
-        idle.retain(|connection| connection.is_usable(MAX_IDLE));
-        idle.pop_if(|connection| connection.is_usable(limit))
-    }
-
     fn hedge(
         &mut self,
         request: &AcquireRequest,
@@ -403,6 +457,8 @@
     }
 
     fn complete_attempt(&mut self, finished: FinishedAttempt, now: Duration) {
+        self.record_signals(&finished, now);
+        let server = finished.server.key;
         let Some(recorded) = self
             .recorder
             .completed(finished.dispatch, finished.completion, now)
@@ -414,12 +470,12 @@
             matches!(finished.completion, Completion::Answered { status } if status < 500);
         let latency = succeeded.then_some(recorded.elapsed);
         if finished.completion == Completion::Shed {
-            self.release_slot_later(finished.server, finished.class);
+            self.release_slot_later(server, finished.class);
         } else {
-            self.balancer.completed(finished.server, latency);
+            self.balancer.completed(server, latency);
         }
         self.path_avoidance
-            .observe(finished.server, finished.completion, now);
+            .observe(server, finished.completion, now);
         if let Some(latency) = latency {
             let class = self.hedge_classes.entry(finished.class);
             class
@@ -427,8 +483,19 @@
                 .record(now, latency);
         }
         if let Some(connection) = finished.connection {
-            self.keep_idle(finished.server, connection);
+            self.keep_idle(&finished.server, connection, now);
+        }
+    }
+
+    fn record_signals(&mut self, finished: &FinishedAttempt, now: Duration) {
+        let (server, random) = (&finished.server, self.rng.random());
+        if !self.intake.record(server, finished.signals, random, now) {
+            return;
         }
+        if self.intake.refusal(server, now) == Some(NoNewRequests::Leaving) {
+            self.idle_connections.close(server.key);
+        }
+        self.update_members();
     }
 
     /// Releases the slot of a shed request after the expected service time. A server sheds because
@@ -445,11 +512,11 @@
         });
     }
 
-    fn keep_idle(&mut self, server: ServerKey, connection: BackendConnection) {
-        let serving = self.servers.contains_key(&server);
-        let idle = self.idle_connections.entry(server).or_default();
-        if serving && idle.len() < self.max_idle_per_server {
-            idle.push(connection);
+    fn keep_idle(&mut self, server: &BackendInfo, connection: BackendConnection, now: Duration) {
+        let current = self.servers.get(&server.key);
+        let is_current = current.is_some_and(|current| process_of(current) == process_of(server));
+        if is_current && self.intake.refusal(server, now) != Some(NoNewRequests::Leaving) {
+            self.idle_connections.keep(server, connection);
         }
     }
 
@@ -468,6 +535,7 @@
                 backend_server: server.backend_server.to_string(),
                 address: server.address,
                 state: server.state,
+                intake: describe(self.intake.refusal(server, now), now),
                 in_flight: self.recorder.in_flight(server.key),
                 standing: format!("{:?}", self.verdicts.standing(server.key, now)),
                 path: format!("{:?}", self.path_avoidance.state(server.key, now)),
@@ -495,5 +563,5 @@
 
 fn reply_refused(refused: Refused<(AcquireRequest, AcquireReplySender)>) {
     let (_, reply) = refused.request.payload;
-    let _ = reply.send(Err(refused.code));
+    let _ = reply.send(Err(refused.code.into()));
 }
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -11,6 +11,8 @@
 use crate::clock::Clock;
 use crate::config_store::ConfigStore;
 use crate::fleet_view::{FleetView, FleetViewReceiver};
+use crate::metrics::ServerSignalMetrics;
+use crate::server_intake::ServerIntake;
 use crate::service_handle::ServiceHandle;
 use crate::service_task;
 use crate::settings::LimitSettings;
@@ -27,6 +29,7 @@
         config: ConfigStore,
         fleet: FleetViewReceiver,
         limits: LimitSettings,
+        signal_metrics: ServerSignalMetrics,
         clock: Clock,
     ) -> Self {
         let services = Self::default();
@@ -34,6 +37,7 @@
             context,
             services: services.clone(),
             limits,
+            signal_metrics,
             clock,
             servers: HashMap::new(),
         };
@@ -71,6 +75,7 @@
     context: Arc<Context>,
     services: Services,
     limits: LimitSettings,
+    signal_metrics: ServerSignalMetrics,
     clock: Clock,
     servers: HashMap<ServiceId, (Vec<Arc<BackendInfo>>, usize)>,
 }
@@ -101,12 +106,17 @@
         for (service, entry) in &config.services {
             let document = Arc::clone(&entry.document);
             let handle = known.get(service).cloned().unwrap_or_else(|| {
+                let intake = ServerIntake::new(
+                    service.clone(),
+                    self.context.journal.clone(),
+                    self.signal_metrics.clone(),
+                );
                 let handle = service_task::spawn(
                     Arc::clone(&document),
                     &self.context,
                     self.clock,
-                    self.limits.queue_length,
-                    self.limits.idle_connections_per_server,
+                    intake,
+                    &self.limits,
                 );
                 self.insert(service.clone(), handle.clone());
                 handle
