entry: End a pause also when a late list names another incarnation

The service task computed the members of the balancer again when the pause of the incarnation that had asked for it ended. That incarnation was forgotten when a newer one was announced, and replaced by an older one whose late response said that it leaves. A list that then named the first one again (a witness that fell behind), or the pause of the newer one, left the server without requests after the end of the pause, until the next change of the list or the next signal of any server.

Servers that leave under ever new names no longer push paused ones out of it.

--- a/crates/entry/src/server_intake.rs
+++ b/crates/entry/src/server_intake.rs
@@ -152,13 +152,25 @@
         self.table.refusal(name, server.incarnation.0, now)
     }
 
+    /// Returns the earliest end of the pauses of those servers that are announced as serving; `None` if
+    /// none of them is paused.
+    pub fn first_pause_end<'a>(
+        &self,
+        servers: impl Iterator<Item = &'a Arc<BackendInfo>>,
+        now: Duration,
+    ) -> Option<Duration> {
+        let serving = servers.filter(|server| server.state == BackendState::Serving);
+        let refusals = serving.map(|server| self.refusal(server, now));
+        refusals.filter_map(pause_end).min()
+    }
+
     /// Returns whether a server is announced as serving and has not said otherwise in its responses.
     #[must_use]
     pub fn takes_requests(&self, server: &BackendInfo, now: Duration) -> bool {
         server.state == BackendState::Serving && self.refusal(server, now).is_none()
     }
 
-    /// Ends the pauses that are over, and returns whether there were any. Costs one comparison while no
+    /// Logs the pauses that are over, and returns whether there were any. Costs one comparison while no
     /// pause ends.
     pub fn end_pauses(&mut self, now: Duration) -> bool {
         if self.next_pause_end.is_none_or(|end| now < end) {
@@ -196,9 +208,17 @@
     fn leave_out(&mut self, server: &Arc<BackendInfo>) {
         // Servers whose names never return would accumulate.
         if self.left_out.len() >= MAX_SERVERS {
-            self.left_out.clear();
+            let table = &self.table;
+            self.left_out.retain(|_, server| {
+                let name = server.backend_server.as_str();
+                !table.is_leaving(name, server.incarnation.0)
+            });
+        }
+        let known = self.left_out.entry(server.key);
+        let known = known.or_insert_with(|| Arc::clone(server));
+        if known.incarnation < server.incarnation {
+            *known = Arc::clone(server);
         }
-        self.left_out.insert(server.key, Arc::clone(server));
     }
 
     fn update_next_pause_end(&mut self, now: Duration) {
@@ -223,9 +243,7 @@
     }
 }
 
-/// Returns the end of a pause.
-#[must_use]
-pub const fn pause_end(refusal: Option<NoNewRequests>) -> Option<Duration> {
+const fn pause_end(refusal: Option<NoNewRequests>) -> Option<Duration> {
     match refusal {
         Some(NoNewRequests::Paused { ends_at }) => Some(ends_at),
         Some(NoNewRequests::Leaving) | None => None,
--- a/crates/entry/src/service_task.rs
+++ b/crates/entry/src/service_task.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use radishpaddle_kernel::Context;
-use radishpaddle_model::{BackendState, ResultCode, ServiceDocument};
+use radishpaddle_model::{ResultCode, ServiceDocument};
 use radishpaddle_policy::balancer::subset_size;
 use radishpaddle_policy::budget::{FailedAttempt, RepeatBudget};
 use radishpaddle_policy::fair_queue::{FairQueue, QueueLimits, Refused, Waiting};
@@ -24,7 +24,7 @@
 use crate::backend_info::BackendInfo;
 use crate::clock::Clock;
 use crate::idle_connections::{IdleConnections, process_of};
-use crate::server_intake::{ServerIntake, describe, pause_end};
+use crate::server_intake::{ServerIntake, describe};
 use crate::service_handle::{
     AcquireReplySender, AcquireRequest, Command, CompletionReporter, FinishedAttempt, Grant,
     NotRun, RetryDecision, ServerStatus, ServiceHandle, ServiceStatus,
@@ -199,7 +199,9 @@
 
     /// Lets the servers whose pause is over take requests again.
     fn end_pauses(&mut self, now: Duration) {
-        if self.intake.end_pauses(now) {
+        // The announced incarnation may be another one than that of the pause.
+        let is_over = self.first_pause_end.is_some_and(|end| end <= now);
+        if self.intake.end_pauses(now) || is_over {
             self.update_members();
         }
     }
@@ -219,11 +221,7 @@
         let members: Vec<_> = servers.map(|server| self.member(server, now)).collect();
         let open = members.iter().filter(|member| !member.draining);
         self.open_slots = open.map(|member| member.slots).sum();
-        let serving = self.servers.values();
-        let serving = serving.filter(|server| server.state == BackendState::Serving);
-        self.first_pause_end = serving
-            .filter_map(|server| pause_end(self.intake.refusal(server, now)))
-            .min();
+        self.first_pause_end = self.intake.first_pause_end(self.servers.values(), now);
         let subset = subset_size(
             members.len(),
             self.instances,
--- a/crates/entry/tests/server_intake.rs
+++ b/crates/entry/tests/server_intake.rs
@@ -230,13 +230,17 @@
 
 proptest! {
     /// Guards against requests for a server that has said that it leaves or wants a pause, in any order of
-    /// responses, late announcements and restarts, and against a server that is not found again.
+    /// responses, late announcements and restarts, and against a server that is not found again, also
+    /// because the change is not reported to the service task, which keeps the result.
     #[test]
     fn what_a_server_said_holds_in_any_order_of_events(events in prop::collection::vec(event(), 1..60)) {
         let (mut intake, _) = new_intake();
         let mut said: [Said; 2] = std::array::from_fn(|_| Said { newest: 3, listed: 3, ..Said::default() });
         let mut now = Duration::from_secs(1);
+        let mut kept = [true; 2];
+        let mut first_end = None;
         for event in events {
+            let mut changed = false;
             match event {
                 Event::Response { server: number, age, leaving, pause, random } => {
                     let incarnation = said[number].newest - age;
@@ -245,20 +249,30 @@
                     headers.extend(text.map(|text| ("retry-after", text)));
                     headers.extend(leaving.then_some(("x-leaving", "1")));
                     let signals = signals(503, &headers);
-                    intake.record(&server(number, incarnation), signals, random, now);
+                    changed |= intake.record(&server(number, incarnation), signals, random, now);
                     let length = signals.pause.map(RetryAfter::length);
                     said[number].record(incarnation, leaving, length, now);
                 }
                 Event::Listed { server: number, age } => {
                     said[number].listed = said[number].newest - age;
                     intake.announced(&server(number, said[number].listed), now);
+                    changed = true;
                 }
                 Event::Restart { server } => said[server].newest += 1,
                 Event::Wait { ms } => now += Duration::from_millis(ms),
             }
-            intake.end_pauses(now);
+            changed |= intake.end_pauses(now);
+            changed |= first_end.is_some_and(|end| end <= now);
+            if changed {
+                let listed = [0, 1].map(|number| server(number, said[number].listed));
+                first_end = intake.first_pause_end(listed.iter(), now);
+            }
             for (number, said) in said.iter().enumerate() {
                 let takes = intake.takes_requests(&server(number, said.listed), now);
+                if changed {
+                    kept[number] = takes;
+                }
+                prop_assert_eq!(kept[number], takes, "at {:?}: {:?}", now, said);
                 prop_assert!(!(takes && said.must_be_left_out(now)), "at {now:?}: {said:?}");
                 prop_assert!(takes || !said.must_get_requests(now), "at {now:?}: {said:?}");
             }
