--- a/crates/entry/src/request_handler.rs
+++ b/crates/entry/src/request_handler.rs
@@ -145,8 +145,7 @@
             .record_finished(labels, response.code, started_at.elapsed());
         if response.code.outcome() != Outcome::Done {
             let now = self.clock.now();
-            self.refusal_log
-                .record(labels, response.code, request_id, now);
+            self.refusal_log.record(labels, &response, request_id, now);
         }
         if let ResultCode::Stopping | ResultCode::Stopped = response.code {
             self.log_stop_refusal(labels, response.code, request_id, started_at);
@@ -420,7 +419,7 @@
         biased;
         outcome = executor.run() => outcome,
         () = stop.requests_end() => match executor.possibly_executed.load(Ordering::Relaxed) {
-            0 => RequestOutcome::NotRun(ResultCode::Stopping),
+            0 => RequestOutcome::NotRun(ResultCode::Stopping.into()),
             _ => RequestOutcome::Unknown(ResultCode::Stopped),
         },
     }
@@ -429,7 +428,10 @@
 fn caller_response(outcome: RequestOutcome) -> CallerResponse {
     match outcome {
         RequestOutcome::Answered(response) => response,
-        RequestOutcome::NotRun(code) => CallerResponse::refusal(code, not_run_message(code)),
+        RequestOutcome::NotRun(reason) => {
+            CallerResponse::refusal(reason.code, not_run_message(reason.code))
+                .with_retry_after(reason.retry_after)
+        }
         RequestOutcome::Unknown(code) => {
             CallerResponse::refusal(code, "the backend server may have run the request")
         }
