gateway: Judge the path to backend servers by checks of all services only

Callers saw: while all servers of one service were down, or half of the servers of one, gateways took themselves for cut off several times a second. They left the directory, and relayed requests of other services to gateways in the same state, which refused them.

Cause: failures at four servers without a new connection in between counted as a lost path, whoever made them. One request tries up to five servers of its service, all within milliseconds when they refuse connections, before the check of the path begins. Kept connections of the other services do not count. Each return also ended the back-off of the servers that are really down.

Change: failures of requests only raise a doubt. A check, which draws servers from all services, decides: eight of them, or all that accept requests where there are fewer (before: all that are known, so a draining one could prevent the decision).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -319,11 +319,15 @@
         }
     }
 
-    /// Records that no connection to a backend server could be opened.
+    /// Records that no connection to the backend server of a request could be opened.
     pub(crate) fn record_connect_failure(&self, server: &Arc<str>) {
-        let known_servers = lock(&self.pools).known_servers();
-        let change = lock(&self.reachability).record_failure(server, known_servers);
+        lock(&self.reachability).record_doubt(server);
         self.path_doubted.notify_one();
+    }
+
+    /// Records that a check of the path could not connect to a backend server, of `known_servers` from which it draws.
+    pub(crate) fn record_check_failure(&self, server: &Arc<str>, known_servers: usize) {
+        let change = lock(&self.reachability).record_failure(server, known_servers);
         if change == Some(ReachabilityChange::Lost) {
             self.report_reachability(ReachabilityChange::Lost);
         }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -396,12 +396,6 @@
         }
     }
 
-    /// Number of backend servers of all services.
-    #[must_use]
-    pub fn known_servers(&self) -> usize {
-        self.service_of.len()
-    }
-
     /// Returns at most `count` backend servers at random, of all services, to connect to without a request: those that
     /// accept requests first, then paused ones, which run as well. Leaving ones may be gone and are the last resort.
     pub fn sample_servers(
--- a/crates/policy/src/reachability.rs
+++ b/crates/policy/src/reachability.rs
@@ -2,13 +2,16 @@
 //!
 //! A network fault may cut an instance off from all backend servers while callers and the rest of the fleet still reach
 //! it. Failures to connect that have this cause say nothing about the servers, and no retry at another server helps.
+//!
+//! The requests of a service try only its servers, which may all be down while those of other services run. So failures
+//! of requests only raise a doubt; a check that connects to servers drawn from all services decides.
 
 use std::collections::HashSet;
 use std::sync::Arc;
 
-/// Number of backend servers that must be unreachable, without a new connection to any server in between. Fewer are often
-/// down at the same time.
-pub const MIN_UNREACHABLE_SERVERS: usize = 4;
+/// Number of backend servers, drawn from all, that a check must find unreachable without a new connection to any server in
+/// between. Half of the servers may be down at the same time.
+pub const MIN_UNREACHABLE_SERVERS: usize = 8;
 
 /// Change of the reachability of backend servers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,6 +28,8 @@
 pub struct Reachability {
     /// Backend servers to which a connection failed since the last one that was opened.
     unreachable: HashSet<Arc<str>>,
+    /// Those of them that a check has found.
+    checked: HashSet<Arc<str>>,
     isolated: bool,
 }
 
@@ -44,18 +49,25 @@
     /// Records that a connection to a backend server was opened.
     pub fn record_connected(&mut self) -> Option<ReachabilityChange> {
         self.unreachable.clear();
+        self.checked.clear();
         std::mem::take(&mut self.isolated).then_some(ReachabilityChange::Regained)
     }
 
-    /// Records that no connection to a backend server could be opened, of `known_servers` that this instance knows.
+    /// Records that a request could not be sent, because no connection to its backend server could be opened.
+    pub fn record_doubt(&mut self, server: &Arc<str>) {
+        self.unreachable.insert(Arc::clone(server));
+    }
+
+    /// Records that a check could not connect to a backend server, of `known_servers` from which it draws.
     pub fn record_failure(
         &mut self,
         server: &Arc<str>,
         known_servers: usize,
     ) -> Option<ReachabilityChange> {
         self.unreachable.insert(Arc::clone(server));
+        self.checked.insert(Arc::clone(server));
         let required = known_servers.clamp(1, MIN_UNREACHABLE_SERVERS);
-        if self.isolated || self.unreachable.len() < required {
+        if self.isolated || self.checked.len() < required {
             return None;
         }
         self.isolated = true;
--- a/crates/policy/tests/reachability.rs
+++ b/crates/policy/tests/reachability.rs
@@ -41,6 +41,20 @@
     assert_eq!(changes, []);
 }
 
+/// Guards against an instance that counts as cut off because all servers of one service are down.
+#[test]
+fn failures_of_the_requests_of_one_service_isolate_nobody() {
+    let mut reachability = Reachability::default();
+
+    for number in 0..MIN_UNREACHABLE_SERVERS * 2 {
+        reachability.record_doubt(&server(number));
+    }
+    let change = reachability.record_failure(&server(0), 30);
+
+    assert_eq!(change, None);
+    assert!(!reachability.is_isolated());
+}
+
 /// Guards against failures of different faults that add up although connections were opened in between.
 #[test]
 fn a_new_connection_ends_the_count_of_unreachable_servers() {
