entry: Refuse requests that can be read in two ways, as the gateway does

Cause: the check stood in the gateway only. The entry routed by the first of two `Host` headers, took `X-Api-Key` and ignored another bearer key, and matched routes on a path that a backend server resolves: a caller with a key for /lookup could have /holds run with `/lookup/../holds`.

The check is now `kernel::ambiguity`, used by both. New in it, for both: a host in the request line that differs from `Host`, which is the one sent on, and dot segments after a backslash or with `;` parameters, which some servers resolve. The entry also refuses two different keys, where the API page had said that `X-Api-Key` counts.

Not solved: `Content-Length` with `Transfer-Encoding`. hyper removes the length before the check sees the request, so the entry still answers 200. The request is read as chunked and sent on with one length. What the gateway answers to such bytes was not tried; it has the same library.

--- a/crates/e2e/src/matrix_requests.rs
+++ b/crates/e2e/src/matrix_requests.rs
@@ -212,6 +212,16 @@
         )],
         uncovered_reason: "the header needs the response as a whole",
     },
+    Row {
+        kind: RowKind::Request,
+        fault: "request that can be read in two ways",
+        guarantees: "P2, P3, P5, P6, P7, P8",
+        covered: &[(
+            Step::BeforeDispatch,
+            "odd_requests::request_with_two_readings_reaches_no_server",
+        )],
+        uncovered_reason: "it is refused before it is sent on",
+    },
     Row {
         kind: RowKind::Request,
         fault: "loss caller to entry",
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -27,9 +27,21 @@
 /// Returns the key that a caller presents in `X-Api-Key` or as bearer token.
 #[must_use]
 pub fn presented_key(headers: &HeaderMap) -> Option<&str> {
-    if let Some(value) = headers.get(API_KEY) {
-        return value.to_str().ok();
+    match headers.get(API_KEY) {
+        Some(value) => value.to_str().ok(),
+        None => bearer_token(headers),
     }
+}
+
+/// Returns whether `X-Api-Key` and the bearer token are different keys.
+#[must_use]
+pub fn presents_two_keys(headers: &HeaderMap) -> bool {
+    let api_key = headers.get(API_KEY).map(HeaderValue::as_bytes);
+    let token = bearer_token(headers).map(str::as_bytes);
+    api_key.zip(token).is_some_and(|(key, token)| key != token)
+}
+
+fn bearer_token(headers: &HeaderMap) -> Option<&str> {
     let authorization = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
     let (scheme, token) = authorization.split_once(' ')?;
     scheme
--- a/crates/entry/src/request_handler.rs
+++ b/crates/entry/src/request_handler.rs
@@ -9,8 +9,9 @@
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::Request;
 use hyper::body::Incoming;
-use hyper::header::HOST;
+use hyper::header::{AUTHORIZATION, HOST};
 use hyper::http::request::Parts;
+use radishpaddle_kernel::ambiguity::is_ambiguous;
 use radishpaddle_model::{
     Access, Fingerprint as PoisonFingerprint, FleetConfig, OrganisationId, OrganisationKey,
     Outcome, ResultCode, Route, ServiceDocument, ServiceId,
@@ -28,8 +29,8 @@
 use crate::config_store::{ConfigStore, organisation_for_key, service_for_host};
 use crate::fleet_view::FleetViewReceiver;
 use crate::forward::{
-    DEADLINE_MS, ForwardRequest, IDEMPOTENCY_KEY, contains_active_key, contains_presented_key,
-    presented_key,
+    API_KEY, DEADLINE_MS, ForwardRequest, IDEMPOTENCY_KEY, contains_active_key,
+    contains_presented_key, presented_key, presents_two_keys,
 };
 use crate::metrics::{RequestLabels, RequestMetrics};
 use crate::poison_task::{PoisonHandle, TicketClient};
@@ -144,6 +145,7 @@
     fn resolve(config: &FleetConfig, parts: &Parts) -> Result<ResolvedRequest, Rejection> {
         let host =
             request_host(parts).ok_or((ResultCode::BadRequest, "the Host header is missing"))?;
+        refuse_ambiguous(parts)?;
         let (service, document) = service_for_host(config, &host)
             .ok_or((ResultCode::NoRoute, "no service has this host"))?;
         let route = document
@@ -423,6 +425,16 @@
         .expect("the name is an identifier")
 }
 
+/// Refuses requests that this instance and a backend server could interpret differently.
+fn refuse_ambiguous(parts: &Parts) -> Result<(), Rejection> {
+    let single = [API_KEY, AUTHORIZATION];
+    if is_ambiguous(&parts.uri, &parts.headers, &single) || presents_two_keys(&parts.headers) {
+        let message = "host, key, path or length of the request can be read in two ways";
+        return Err((ResultCode::BadRequest, message));
+    }
+    Ok(())
+}
+
 /// Returns the host of the request in lower case and without port.
 fn request_host(parts: &Parts) -> Option<String> {
     let text = match parts.uri.host() {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -7,11 +7,10 @@
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::Request;
 use hyper::body::Incoming;
-use hyper::header::{
-    AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, TRANSFER_ENCODING,
-};
+use hyper::header::{AUTHORIZATION, HOST, HeaderMap};
 use hyper::http::request::Parts;
 use radishpaddle_kernel::LogSampling;
+use radishpaddle_kernel::ambiguity::is_ambiguous;
 use radishpaddle_model::{KeyHash, Organisation, RoutePart, RoutingRule, RoutingTable};
 use serde_json::json;
 use tokio::time::{Instant, timeout_at};
@@ -209,7 +208,9 @@
         return Err((Refusal::NotFresh, Some(RETRY_AFTER)));
     }
     let host = host(parts).ok_or((Refusal::BadRequest, None))?;
-    refuse_ambiguous(parts)?;
+    if is_ambiguous(&parts.uri, &parts.headers, &[AUTHORIZATION]) {
+        return Err((Refusal::BadRequest, None));
+    }
     let is_fresh = shared.is_fresh();
     let rule = table.rule(&host, parts.uri.path());
     let rule = match rule {
@@ -241,30 +242,6 @@
     })
 }
 
-/// Refuses requests that the gateway and a backend server could interpret differently.
-fn refuse_ambiguous(parts: &Parts) -> Result<(), RefusalAndRetry> {
-    let repeated = |name: HeaderName| parts.headers.get_all(name).iter().count() > 1;
-    let two_lengths =
-        parts.headers.contains_key(CONTENT_LENGTH) && parts.headers.contains_key(TRANSFER_ENCODING);
-    if repeated(HOST) || repeated(AUTHORIZATION) || two_lengths || has_dot_segment(parts.uri.path())
-    {
-        return Err((Refusal::BadRequest, None));
-    }
-    Ok(())
-}
-
-/// Whether the path has dot segments, plain or percent-encoded: a backend server that resolves them would see another
-/// path than the one that was routed.
-fn has_dot_segment(path: &str) -> bool {
-    let decoded = path
-        .to_ascii_lowercase()
-        .replace("%2e", ".")
-        .replace("%2f", "/");
-    decoded
-        .split('/')
-        .any(|segment| segment == "." || segment == "..")
-}
-
 /// Admits a request within the rate limit of its organisation; a rate of zero means no limit.
 fn admit(
     shared: &Shared,
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -5,6 +5,7 @@
 //! the kernel starts the plugins of its program in ascending order and stops them in reverse.
 
 pub mod admin;
+pub mod ambiguity;
 pub mod arguments;
 pub mod boot_clock;
 pub mod context;
