entry: Abandon claims whose request ends before they are decided

Cause: a claim was abandoned or completed only after the witnesses had decided. When its request ended before, at the end of a planned stop or because its caller disconnected, the witnesses that had granted it kept it until it expired.

What callers saw: a refusal as not run (2022 at a stop), but 3003 (in progress) for a resend with the same idempotency key.

An undecided claim is now abandoned when it is dropped. Abandonments go to all witnesses at the same time, so that one that does not reply does not delay the others, and a stop waits until the ends of claims are confirmed, for 0.4 s at most.

crates/e2e/tests/planned_stop.rs, an_action_that_waits_for_its_claim_blocks_its_key_after_a_planned_stop, before: OutcomeUnknown { code: 3003 }; after: passes.

--- a/crates/e2e/tests/planned_stop.rs
+++ b/crates/e2e/tests/planned_stop.rs
@@ -178,6 +178,49 @@
     scenario.assert_guarantees();
 }
 
+/// Guards against an action that a planned stop ends while it waits for its claim, and whose idempotency key stays
+/// blocked although the action has not run: the witnesses have granted the claim, but their replies are delayed.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_action_that_waits_for_its_claim_blocks_its_key_after_a_planned_stop() {
+    let plan = FleetPlan {
+        entries: 4,
+        stop_deadline_ms: 2_000,
+        ..FleetPlan::default()
+    };
+    let mut scenario = Scenario::start(plan).await.unwrap();
+    let stopping = scenario.fleet.plan().witnesses();
+    let caller = Arc::new(scenario.direct_caller(stopping));
+    let told = caller.perform(&lookup("before")).await;
+    assert!(is_success(&told), "{told:?}");
+    // The leader answers, so that the action gets its rate token.
+    let leader = scenario.witness_leader(stopping).unwrap();
+    for witness in (0..stopping).filter(|witness| *witness != leader) {
+        let (from, to) = (Node::Entry(witness), Node::Entry(stopping));
+        scenario.fleet.stall_one_way(from, to);
+    }
+    let waiting = Operation {
+        deadline_ms: 5_000,
+        ..action("waiting")
+    };
+    let sent = {
+        let (caller, operation) = (Arc::clone(&caller), waiting.clone());
+        tokio::spawn(async move { caller.perform(&operation).await })
+    };
+    tokio::time::sleep(Duration::from_millis(200)).await;
+
+    let process = scenario.fleet.process(Node::Entry(stopping));
+    process.terminate().unwrap();
+
+    assert_eq!(sent.await.unwrap(), AttemptResult::NotRun { code: 2022 });
+    let process = scenario.fleet.process(Node::Entry(stopping));
+    process.wait_for_exit(STOP_DEADLINE).unwrap();
+    scenario.fleet.heal();
+    let resent = scenario.caller(&[leader], 1);
+    let resent = resent.perform(&resend_of(&waiting)).await;
+    assert!(is_success(&resent), "{resent:?}");
+    scenario.assert_guarantees();
+}
+
 /// Guards against a stopping instance that refuses requests which it can serve, and against an end of the process
 /// before the answers to those that it has taken.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use radishpaddle_model::{OrganisationId, ServiceId};
 use radishpaddle_quorum::claim::{
     AbandonReply, AttemptId, ClaimAttempt, ClaimDecision, ClaimKey, ClaimReply, Fingerprint,
@@ -14,7 +15,10 @@
 use radishpaddle_wire::message::request;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
+use tokio::runtime::Handle;
 use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout_at};
+use tokio_util::task::TaskTracker;
 
 use crate::caller_response::CallerResponse;
 use crate::clock::Clock;
@@ -37,6 +41,16 @@
     witnesses: WitnessClients,
     clock: Clock,
     next_attempt_number: Arc<AtomicU64>,
+    runtime: Handle,
+    /// Tasks that send completions and abandonments until the witnesses have confirmed them.
+    confirmations: TaskTracker,
+}
+
+/// Claim that the witnesses have not decided. When it is dropped, because the caller disconnects or a
+/// planned stop ends the request, it is abandoned: the witnesses may have granted it.
+struct PendingClaim {
+    attempt: Option<ClaimAttempt>,
+    client: ClaimClient,
 }
 
 /// Granted claim that permits one dispatch. It must be ended by [`Claim::complete`] or, if the
@@ -63,7 +77,8 @@
 }
 
 impl ClaimClient {
-    /// Creates the client for one incarnation of an instance.
+    /// Creates the client for one incarnation of an instance. Must be called in the runtime of the
+    /// process.
     #[must_use]
     pub fn new(life: InstanceIncarnation, witnesses: WitnessClients, clock: Clock) -> Self {
         Self {
@@ -71,9 +86,23 @@
             witnesses,
             clock,
             next_attempt_number: Arc::default(),
+            runtime: Handle::current(),
+            confirmations: TaskTracker::new(),
         }
     }
 
+    /// Waits until the witnesses have confirmed all completions and abandonments, until `deadline` at
+    /// the latest. Called at a planned stop after the last request.
+    pub async fn settle(&self, deadline: Instant) {
+        self.confirmations.close();
+        let _ = timeout_at(deadline, self.confirmations.wait()).await;
+    }
+
+    fn spawn_abandonment(&self, attempt: ClaimAttempt) {
+        let abandonment = self.clone().confirm_abandonment(attempt);
+        self.confirmations.spawn_on(abandonment, &self.runtime);
+    }
+
     /// Requests the claim on an action from the witnesses.
     pub async fn claim(
         &self,
@@ -86,14 +115,15 @@
             number: self.next_attempt_number.fetch_add(1, Ordering::Relaxed),
         };
         let now = self.clock.now();
-        let mut attempt = ClaimAttempt::new(group.clone(), key, attempt, fingerprint, now);
-        match self.collect_votes(&mut attempt).await {
+        let attempt = ClaimAttempt::new(group.clone(), key, attempt, fingerprint, now);
+        let (attempt, decision) = PendingClaim::new(self.clone(), attempt).decide().await;
+        match decision {
             ClaimDecision::Dispatch => ClaimOutcome::Granted(Box::new(Claim {
                 attempt,
                 client: self.clone(),
             })),
             decision => {
-                tokio::spawn(self.clone().confirm_abandonment(attempt));
+                self.spawn_abandonment(attempt);
                 ClaimOutcome::Refused(decision)
             }
         }
@@ -147,22 +177,48 @@
             if unconfirmed.is_empty() {
                 return;
             }
-            for witness in unconfirmed {
-                let Some(client) = self.witnesses.get(&witness) else {
-                    continue;
-                };
-                let exchanged =
-                    client.call_with_payload(request::Kind::Abandon, &request, WITNESS_TIMEOUT);
-                let reply: Result<AbandonReply, _> = exchanged.await;
-                if let Ok(reply) = reply {
-                    attempt.on_abandon_reply(&reply);
-                }
+            let clients = unconfirmed
+                .iter()
+                .filter_map(|witness| self.witnesses.get(witness));
+            let calls = clients.map(|client| {
+                client.call_with_payload(request::Kind::Abandon, &request, WITNESS_TIMEOUT)
+            });
+            let replies: Vec<Result<AbandonReply, _>> = join_all(calls).await;
+            for reply in replies.into_iter().flatten() {
+                attempt.on_abandon_reply(&reply);
             }
             tokio::time::sleep(CONFIRMATION_RETRY_PERIOD).await;
         }
     }
 }
 
+impl PendingClaim {
+    const fn new(client: ClaimClient, attempt: ClaimAttempt) -> Self {
+        Self {
+            attempt: Some(attempt),
+            client,
+        }
+    }
+
+    /// Waits for the decision of the witnesses.
+    async fn decide(mut self) -> (ClaimAttempt, ClaimDecision) {
+        let client = self.client.clone();
+        let attempt = self.attempt.as_mut().expect("the attempt is pending");
+        let decision = client.collect_votes(attempt).await;
+        let attempt = self.attempt.take().expect("the attempt is pending");
+        (attempt, decision)
+    }
+}
+
+impl Drop for PendingClaim {
+    fn drop(&mut self) {
+        if let Some(mut attempt) = self.attempt.take() {
+            attempt.abandon();
+            self.client.spawn_abandonment(attempt);
+        }
+    }
+}
+
 impl Claim {
     /// Records at the witnesses that the action ran, with its response if that is complete. Returns
     /// at once and sends in the background.
@@ -174,7 +230,7 @@
         let claim_client = self.client;
         for (_, client) in claim_client.witnesses.iter() {
             let (client, complete, clock) = (client.clone(), complete.clone(), claim_client.clock);
-            tokio::spawn(async move {
+            claim_client.confirmations.spawn(async move {
                 let until = clock.now() + CONFIRMATION_WINDOW;
                 while clock.now() < until {
                     let exchanged = client.call_with_payload(
@@ -197,7 +253,7 @@
     /// not.
     pub fn abandon(mut self) {
         self.attempt.abandon();
-        tokio::spawn(self.client.confirm_abandonment(self.attempt));
+        self.client.spawn_abandonment(self.attempt);
     }
 }
 
--- a/crates/entry/src/plugins.rs
+++ b/crates/entry/src/plugins.rs
@@ -47,6 +47,9 @@
 inventory::submit! { Plugin { program: Program::Entry, name: "backend-servers", order: 50, start: |context| backend_servers(context) } }
 inventory::submit! { Plugin { program: Program::Entry, name: "callers", order: 60, start: |context| callers(context) } }
 
+/// Time limit at a stop for the witnesses to confirm the ends of claims.
+const SETTLE_TIMEOUT: Duration = Duration::from_millis(400);
+
 fn admin(context: Arc<Context>) -> PluginFuture<Result<PluginHandle>> {
     Box::pin(async move {
         let settings = context.get::<EntrySettings>()?;
@@ -249,10 +252,16 @@
             stop: Arc::new(PlannedStop::new(settings.stop_plan())),
             settings,
         };
+        let claims = handler.claims.clone();
         let addresses = AddressResponder::new(fleet, lifetime);
         let listener = CallerListener::bind(Arc::new(handler), addresses).await?;
         log::info!("entry: listening for callers at {}", listener.address());
-        Ok(PluginHandle::new(|deadline| listener.stop(deadline)))
+        Ok(PluginHandle::new(move |deadline| async move {
+            listener.stop(deadline).await;
+            claims
+                .settle(deadline.min(Instant::now() + SETTLE_TIMEOUT))
+                .await;
+        }))
     })
 }
 
