control: Refuse submissions that arrive while a planned stop answers others

Cause: after the stop signal the server thread waited for the requests in progress (3 s for one that waits to be in force) without taking new ones, whose connections were accepted all the same and reset at the end.

Found by submissions_in_progress_are_cut_by_a_planned_stop_of_control (crates/e2e/tests/planned_stop.rs) at a load average of 32: "5 of 24: [Err(io: Connection reset by peer (os error 104)), .."; under less load all 24 arrive before the signal. After: passes at load averages of 18 to 23 (whole file, 7 of 7) and 10; not run again at 32.

The thread goes on taking requests, which are refused with 4004, until those in progress have ended. A request whose bytes arrive in the last moment before the socket closes is still reset.

--- a/crates/control/src/operator_api.rs
+++ b/crates/control/src/operator_api.rs
@@ -21,6 +21,7 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::{Instant, timeout_at};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::control_state::{ControlState, LogCommand};
 use crate::diff;
@@ -79,11 +80,13 @@
     /// Fails when the address cannot be bound.
     pub fn bind(address: SocketAddr, api: OperatorApi) -> Result<Self> {
         let stopping = CancellationToken::new();
-        let api_stopping = stopping.clone();
+        let in_progress = TaskTracker::new();
+        let (api_stopping, api_in_progress) = (stopping.clone(), in_progress.clone());
         let handle = move |request: &Request| {
             if api_stopping.is_cancelled() {
                 return error_response(ResultCode::NotLeader, "this instance is stopping");
             }
+            let _in_progress = api_in_progress.token();
             api.handle(request)
         };
         let server = Server::new(address, handle)
@@ -93,7 +96,8 @@
         let (end, ended) = oneshot::channel();
         let server_stopping = stopping.clone();
         thread::spawn(move || {
-            while !server_stopping.is_cancelled() {
+            // Requests that arrive while others are still in progress are refused, not left unanswered.
+            while !server_stopping.is_cancelled() || !in_progress.is_empty() {
                 server.poll_timeout(STOP_POLL_PERIOD);
             }
             server.join();
