--- a/crates/e2e/src/matrix_reports.rs
+++ b/crates/e2e/src/matrix_reports.rs
@@ -160,8 +160,11 @@
         report: PLANNED_STOP,
         path: ReportPath::Entry,
         place: "requests whose time limit ends after the process",
-        tests: &[],
-        reason: "tested in `crates/e2e/tests/planned_stop.rs`",
+        tests: &[
+            "crates/e2e/tests/planned_stop.rs::an_action_on_a_late_connection_is_cut_by_the_end_of_a_planned_stop",
+            "crates/e2e/tests/planned_stop.rs::requests_on_open_connections_are_cut_by_the_end_of_a_planned_stop",
+        ],
+        reason: "",
     },
     ReportRow {
         report: STOP_UNDER_LOAD,
@@ -177,8 +180,12 @@
         report: STOP_UNDER_LOAD,
         path: ReportPath::Entry,
         place: "requests in progress at the stop signal",
-        tests: &["crates/e2e/tests/end_to_end.rs::submissions_calls_withdrawal_and_planned_stop"],
-        reason: "more in `crates/e2e/tests/planned_stop.rs`",
+        tests: &[
+            "crates/e2e/tests/end_to_end.rs::submissions_calls_withdrawal_and_planned_stop",
+            "crates/e2e/tests/planned_stop.rs::requests_taken_in_time_are_served_before_a_planned_stop_ends",
+            "crates/e2e/tests/planned_stop.rs::requests_in_progress_at_the_end_of_a_planned_stop_get_no_answer",
+        ],
+        reason: "",
     },
     ReportRow {
         report: RESTART,
