--- a/crates/e2e/src/matrix_reports.rs
+++ b/crates/e2e/src/matrix_reports.rs
@@ -163,6 +163,8 @@
         tests: &[
             "crates/e2e/tests/planned_stop.rs::an_action_on_a_late_connection_is_cut_by_the_end_of_a_planned_stop",
             "crates/e2e/tests/planned_stop.rs::requests_on_open_connections_are_cut_by_the_end_of_a_planned_stop",
+            "crates/e2e/tests/planned_stop.rs::an_action_that_waits_for_its_claim_blocks_its_key_after_a_planned_stop",
+            "crates/e2e/tests/planned_stop.rs::callers_are_sent_to_a_stopping_instance",
         ],
         reason: "",
     },
@@ -184,6 +186,7 @@
             "crates/e2e/tests/end_to_end.rs::submissions_calls_withdrawal_and_planned_stop",
             "crates/e2e/tests/planned_stop.rs::requests_taken_in_time_are_served_before_a_planned_stop_ends",
             "crates/e2e/tests/planned_stop.rs::requests_in_progress_at_the_end_of_a_planned_stop_get_no_answer",
+            "crates/e2e/tests/planned_stop.rs::submissions_in_progress_are_cut_by_a_planned_stop_of_control",
         ],
         reason: "",
     },
