review: Show that a worker that left gets requests again

A departure under an id that has left before keeps the place of the first one and is evicted in its stead, once 4,096 ids have left. Ruled out: machines out of touch and a departure that was not acknowledged.

--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -1,6 +1,7 @@
 //! Runs one case of the review with the project's own programs and stand-ins for everything around them.
 
 mod case_poison;
+mod case_retired;
 mod client;
 mod common;
 mod fleet;
@@ -37,6 +38,7 @@
     let record = Arc::new(Record::create(&PathBuf::from(folder).join("record.txt")));
     let verdict = match case.as_str() {
         "poison" => case_poison::run(&record, trouble),
+        "retired" => case_retired::run(&record, trouble),
         _ => Err("no such case".to_owned()),
     };
     let verdict = verdict.unwrap_or_else(Verdict::CannotRun);
