review: Show that a restart grants the burst of a tenant again

A gateway begins with full buckets, so after all processes have been killed a tenant uses its burst twice in one window. Ruled out: a late start of the fault; it is the same when only the gateways are killed.

--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -1,6 +1,7 @@
 //! Runs one case of the review with the project's own programs and stand-ins for everything around them.
 
 mod case_poison;
+mod case_quota;
 mod case_retired;
 mod client;
 mod common;
@@ -37,6 +38,7 @@
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Arc::new(Record::create(&PathBuf::from(folder).join("record.txt")));
     let verdict = match case.as_str() {
+        "quota" => case_quota::run(&record, trouble),
         "poison" => case_poison::run(&record, trouble),
         "retired" => case_retired::run(&record, trouble),
         _ => Err("no such case".to_owned()),
