review: Show that a split route ends the quarantine of a request

The fingerprint of a request contains the name of its route, so two versions that split the route let it crash six workers more where three retries are allowed. Ruled out: crashes that are not counted; before the first split the request is refused after three.

--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -3,6 +3,7 @@
 mod case_poison;
 mod case_quota;
 mod case_retired;
+mod case_split;
 mod client;
 mod common;
 mod fleet;
@@ -40,6 +41,7 @@
     let verdict = match case.as_str() {
         "quota" => case_quota::run(&record, trouble),
         "poison" => case_poison::run(&record, trouble),
+        "split" => case_split::run(&record, trouble),
         "retired" => case_retired::run(&record, trouble),
         _ => Err("no such case".to_owned()),
     };
