--- a/review/stand_ins/case_poison.rs
+++ b/review/stand_ins/case_poison.rs
@@ -15,7 +15,7 @@
 const CONTACT: Duration = Duration::from_secs(3);
 
 /// Time for which a worker runs the request before it crashes.
-const CRASH_AFTER: Duration = Duration::from_millis(300);
+pub const CRASH_AFTER: Duration = Duration::from_millis(300);
 
 /// Retries that may reach workers after the third crash and `contact-s`.
 const ALLOWED_RETRIES: usize = 3;
@@ -26,7 +26,7 @@
     let period = Duration::from_millis(u64::from(number("PERIOD_MS", 4_000)));
     let plans: Vec<Plan> = (0..number("WORKERS", 20) as usize)
         .map(|number| Plan {
-            crashes_at: trouble.then_some((POISON, CRASH_AFTER)),
+            crashes_at: trouble.then(|| (POISON.to_owned(), CRASH_AFTER)),
             ..Plan::sound(number)
         })
         .collect();
--- a/review/stand_ins/case_split.rs
+++ b/review/stand_ins/case_split.rs
@@ -4,33 +4,56 @@
 use std::time::Duration;
 
 use crate::Verdict;
-use crate::case_poison::judge;
+use crate::case_poison::{CRASH_AFTER, judge};
 use crate::client::{self, Call, Client, SentList};
 use crate::common::{Scene, tenant, usual};
 use crate::record::Record;
 use crate::worker::{Plan, Run};
 
-const POISON: &str = "/pufi791/north/farm/spoilt";
+/// Prefix of the route that the versions split.
+const ROUTE: &str = "/pufi791/";
 
-/// Parts of the route that the second and the third configuration split off.
-const SPLIT_PREFIXES: [&str; 2] = ["/pufi791/north/", "/pufi791/north/farm/"];
+/// Prefixes below it that the second and the third configuration split off, and the request below both.
+struct Paths {
+    splits: [String; 2],
+    poison: String,
+}
+
+impl Paths {
+    fn new() -> Self {
+        let first = format!("{ROUTE}north/");
+        let second = format!("{first}east/");
+        let poison = format!("{second}spoilt");
+        Self {
+            splits: [first, second],
+            poison,
+        }
+    }
+}
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> Result<Verdict, String> {
+    let paths = Paths::new();
     let plans: Vec<Plan> = (0..12)
         .map(|number| Plan {
-            crashes_at: Some((POISON, Duration::from_millis(300))),
+            crashes_at: Some((paths.poison.clone(), CRASH_AFTER)),
             ..Plan::sound(number)
         })
         .collect();
     let document = |version: u32| {
-        let splits = if trouble { version as usize - 1 } else { 0 };
-        client::config(version, &[tenant(600, 600)], &SPLIT_PREFIXES[..splits])
+        let count = if trouble { version as usize - 1 } else { 0 };
+        let splits: Vec<&str> = paths
+            .splits
+            .iter()
+            .take(count)
+            .map(String::as_str)
+            .collect();
+        client::config(version, &[tenant(600, 600)], &splits)
     };
     let mut scene = Scene::start(record, 3, &document(1), &plans)?;
     scene.start_clients(50);
     std::thread::sleep(Duration::from_secs(2));
     let poison = Call {
-        path: POISON.to_owned(),
+        path: paths.poison.clone(),
         ..usual()
     };
     let poison_sent: SentList = Arc::default();
@@ -52,6 +75,6 @@
         return Err("the usual requests were not served".to_owned());
     }
     let runs = scene.runs.lock().unwrap();
-    let arrivals: Vec<&Run> = runs.iter().filter(|run| run.path == POISON).collect();
+    let arrivals: Vec<&Run> = runs.iter().filter(|run| run.path == paths.poison).collect();
     Ok(judge(record, &poison_sent, &arrivals, true))
 }
--- a/review/stand_ins/worker.rs
+++ b/review/stand_ins/worker.rs
@@ -31,7 +31,7 @@
     pub slots: usize,
     pub work: Duration,
     /// Path that crashes the worker once it has worked on it for this long.
-    pub crashes_at: Option<(&'static str, Duration)>,
+    pub crashes_at: Option<(String, Duration)>,
     /// Time after which a worker that crashed is back.
     pub back_after: Duration,
     /// Whether the worker starts again under the id that it had.
@@ -286,9 +286,10 @@
         let crash = shared
             .plan
             .crashes_at
-            .filter(|(path, _)| request.path() == *path);
+            .as_ref()
+            .filter(|(path, _)| request.path() == path);
         if let Some((_, after)) = crash {
-            std::thread::sleep(after);
+            std::thread::sleep(*after);
             incarnation.crash(shared);
             return Ok(());
         }
