--- a/crates/consensus/src/repair.rs
+++ b/crates/consensus/src/repair.rs
@@ -75,7 +75,7 @@
 
     /// Returns whether a membership change is uncommitted, or may be because the first entry of the
     /// term is not committed yet.
-    fn has_uncommitted_change(&self) -> bool {
+    pub(crate) fn has_uncommitted_change(&self) -> bool {
         self.commit_index < self.leadership.first_index
             || self.membership_index() > self.commit_index
     }
@@ -150,7 +150,7 @@
 
     /// Returns the member with this role that has been unreachable for longest, if that is at least
     /// [`crate::Config::repair_after_ticks`].
-    fn longest_unreachable(&self, role: MemberRole) -> Option<ReplicaId> {
+    pub(crate) fn longest_unreachable(&self, role: MemberRole) -> Option<ReplicaId> {
         let unreachable_ticks = |id: &ReplicaId| {
             let progress = self.leadership.progress.get(id);
             progress.map_or(0, |progress| progress.ticks_since_response)
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -5,9 +5,12 @@
 use std::time::Duration;
 
 use anyhow::{Context as _, Result};
+use radishpaddle_consensus::{Member, MemberRole, Membership, ReplicaId};
 use radishpaddle_kernel::{DecisionLog, LogSampling, boot_clock};
 use radishpaddle_model::{BackendState, Retirement, RoutingConfig, ServerPresence};
-use radishpaddle_replication::{ReplicaError, ReplicaHandle, ReplicaSettings, VoterTarget};
+use radishpaddle_replication::{
+    ReplicaError, ReplicaHandle, ReplicaSettings, ReplicaView, VoterTarget,
+};
 use radishpaddle_wire::message::{Hello, request};
 use radishpaddle_wire::{
     ClientIdentity, PROTOCOL_VERSION, PeerSecurity, PeerServer, PresenceExchange, ServerIdentity,
@@ -423,11 +426,30 @@
     }
 }
 
-/// Wakes held polls when the view of the replica changes, and records changes of the leader and of the storage
-/// state.
+/// Describes the group for the decision log: who its members are and, on the leader, which of them are silent,
+/// how many more voters may be lost and what the repair waits for.
+fn group_line(view: &ReplicaView<CoordinatorState>) -> serde_json::Value {
+    let silent = |id| {
+        let health = view.health.as_ref();
+        health.is_some_and(|health| health.silent.contains(&id))
+    };
+    let member = |(id, member): (&ReplicaId, &Member)| {
+        json!({"id": id.0.to_string(), "address": member.address,
+               "votes": member.role == MemberRole::Voter, "silent": silent(*id)})
+    };
+    let members: Vec<_> = view.membership.members.iter().map(member).collect();
+    let health = view.health.as_ref();
+    json!({"members": members, "voters": view.membership.voters().count(), "term": view.term,
+           "tolerated_losses": health.map(|health| health.tolerated_losses),
+           "repair": health.map(|health| health.repair.to_string())})
+}
+
+/// Wakes held polls when the view of the replica changes, and records changes of the leader, of the storage state
+/// and of the group.
 async fn follow_replica(coordinator: Coordinator) {
     let mut view = coordinator.replica().watch();
     let mut recorded = (None, false);
+    let mut recorded_group = (Membership::default(), None);
     loop {
         {
             let view = view.borrow_and_update();
@@ -440,6 +462,13 @@
                 });
                 recorded = current;
             }
+            let group = (view.membership.clone(), view.health.clone());
+            if group != recorded_group {
+                coordinator
+                    .log()
+                    .record("group", LogSampling::Each, || group_line(&view));
+                recorded_group = group;
+            }
         }
         coordinator.notify_polls();
         if view.changed().await.is_err() {
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -20,6 +20,9 @@
     version: IntGauge,
     leads: IntGauge,
     voters: IntGauge,
+    members: IntGauge,
+    silent_members: IntGauge,
+    tolerated_losses: IntGauge,
     storage_works: IntGauge,
     servers: IntGauge,
     gateways: IntGauge,
@@ -57,6 +60,15 @@
             )?,
             leads: gauge("leads", "1 while this coordinator leads.")?,
             voters: gauge("voters", "Members of the group that vote.")?,
+            members: gauge("members", "Members of the group, voters and learners.")?,
+            silent_members: gauge(
+                "silent_members",
+                "Members that do not respond; only on the leader.",
+            )?,
+            tolerated_losses: gauge(
+                "tolerated_losses",
+                "Voters that may be lost before the group has no quorum; only on the leader.",
+            )?,
             storage_works: gauge(
                 "storage_works",
                 "1 while the data directory can be written.",
@@ -85,6 +97,12 @@
         self.version.set(version);
         self.leads.set((view.role == Role::Leader).into());
         self.voters.set(to_signed(view.membership.voters().count()));
+        self.members.set(to_signed(view.membership.members.len()));
+        let health = view.health.as_ref();
+        let silent = health.map_or(0, |health| health.silent.len());
+        let tolerated = health.map_or(0, |health| health.tolerated_losses);
+        self.silent_members.set(to_signed(silent));
+        self.tolerated_losses.set(to_signed(tolerated));
         self.storage_works.set(view.storage_works.into());
         self.servers.set(to_signed(servers));
         self.gateways.set(gateways.into());
--- a/crates/replication/src/handle.rs
+++ b/crates/replication/src/handle.rs
@@ -7,7 +7,7 @@
 
 use anyhow::Result;
 use radishpaddle_consensus::{
-    Membership, MembershipChange, Message, ProposeError, ReplicaId, Role,
+    GroupHealth, Membership, MembershipChange, Message, ProposeError, ReplicaId, Role,
 };
 use radishpaddle_wire::ClientIdentity;
 use serde::{Deserialize, Serialize};
@@ -47,6 +47,8 @@
     pub leader: Option<Arc<str>>,
     /// Membership of the group, as far as this replica knows it.
     pub membership: Membership,
+    /// Health of the group; only the leader knows it.
+    pub health: Option<GroupHealth>,
     /// Index of the last log entry that was applied to the state.
     pub applied_index: u64,
     /// Applied state. On a follower it may lag behind the leader.
--- a/crates/replication/src/replica_task.rs
+++ b/crates/replication/src/replica_task.rs
@@ -465,6 +465,7 @@
             term: self.replica.term(),
             leader,
             membership: membership.clone(),
+            health: self.replica.group_health(),
             applied_index: self.replica.applied_index(),
             state: Arc::clone(&self.state),
             storage_works: self.storage_works,
@@ -475,7 +476,8 @@
                 && current.leader == view.leader
                 && current.applied_index == view.applied_index
                 && current.storage_works == view.storage_works
-                && current.membership == view.membership;
+                && current.membership == view.membership
+                && current.health == view.health;
             *current = view;
             !is_unchanged
         });
--- a/crates/replication/src/supervisor.rs
+++ b/crates/replication/src/supervisor.rs
@@ -89,6 +89,7 @@
             term: self.replica.term(),
             leader: None,
             membership: self.replica.membership().clone(),
+            health: None,
             applied_index: self.snapshot_index,
             state: Arc::clone(&self.state),
             storage_works: true,
