consensus: Show that losses in series end the group, as a failing test

The test loses replicas for good, one after another, each 4 s (80 ticks) after the previous replacement has started, which is all that the platform waits (catch-up-s). The oracle counts time only: after each loss an entry must be committed.

--- a/crates/consensus/tests/simulation/main.rs
+++ b/crates/consensus/tests/simulation/main.rs
@@ -3,6 +3,7 @@
 //! reverted, one submission per revision, linearisable reads.
 
 mod checker;
+mod losses;
 mod machine;
 mod node;
 mod world;
--- a/crates/consensus/tests/simulation/world.rs
+++ b/crates/consensus/tests/simulation/world.rs
@@ -66,7 +66,10 @@
     pub now: u64,
     pub rng: SmallRng,
     pub faults: Faults,
+    config: Config,
     target_voters: usize,
+    /// Number of voters that the group keeps if every live member votes; otherwise the target is fixed.
+    min_voters: Option<usize>,
     pub nodes: BTreeMap<ReplicaId, Node>,
     pub checker: Checker,
     pub writes: u64,
@@ -84,8 +87,18 @@
     pub fn new(seed: u64, voters: u64, learners: u64, faults: Faults) -> Self {
         let ids = (1..=voters + learners).map(ReplicaId);
         let disks = ids.map(|id| initial_disk(id, voters, learners));
-        let target_voters = usize::try_from(voters).unwrap();
-        Self::with_disks(seed, disks.collect(), target_voters, faults)
+        let config = default_config(usize::try_from(voters).unwrap(), faults.election_ticks);
+        Self::with_disks(seed, disks.collect(), config, faults)
+    }
+
+    /// Creates a group in which every live member votes, up to the limit of voters, without faults.
+    pub fn live_members(seed: u64, replicas: u64, min_voters: usize, config: Config) -> Self {
+        let voters = replicas.min(MAX_VOTERS as u64);
+        let ids = (1..=replicas).map(ReplicaId);
+        let disks = ids.map(|id| initial_disk(id, voters, replicas - voters));
+        let mut cluster = Self::with_disks(seed, disks.collect(), config, Faults::NONE);
+        cluster.min_voters = Some(min_voters);
+        cluster
     }
 
     /// Creates the first replica of a group and two processes that have not joined it yet.
@@ -93,20 +106,18 @@
         let first_replica = PersistedState::bootstrap(ReplicaId(1), "founder".into());
         let others = [2, 3].map(|id| PersistedState::empty(ReplicaId(id)));
         let disks = std::iter::once(first_replica).chain(others);
-        Self::with_disks(seed, disks.collect(), 3, Faults::NONE)
+        let config = default_config(3, Faults::NONE.election_ticks);
+        Self::with_disks(seed, disks.collect(), config, Faults::NONE)
     }
 
-    fn with_disks(
-        seed: u64,
-        disks: Vec<PersistedState>,
-        target_voters: usize,
-        faults: Faults,
-    ) -> Self {
+    fn with_disks(seed: u64, disks: Vec<PersistedState>, config: Config, faults: Faults) -> Self {
         let mut cluster = Self {
             now: 0,
             rng: SmallRng::seed_from_u64(seed),
             faults,
-            target_voters,
+            target_voters: config.target_voters,
+            min_voters: None,
+            config,
             nodes: BTreeMap::new(),
             checker: Checker::default(),
             writes: 0,
@@ -120,27 +131,13 @@
         };
         for disk in disks {
             let id = disk.hard_state.replica_id;
-            let mut node = Node::start(disk, cluster.config(), &mut cluster.rng);
+            let mut node = Node::start(disk, cluster.config.clone(), &mut cluster.rng);
             node.slow_clock = cluster.chance(cluster.faults.slow_clock);
             cluster.nodes.insert(id, node);
         }
         cluster
     }
 
-    fn config(&self) -> Config {
-        Config {
-            heartbeat_ticks: 2,
-            election_ticks: self.faults.election_ticks,
-            target_voters: self.target_voters,
-            repair_after_ticks: 60,
-            retained_entries: 4,
-            max_batch_bytes: 100,
-            max_chunk_bytes: 40,
-            max_unacknowledged_batches: 3,
-            ..Config::default()
-        }
-    }
-
     pub fn run(&mut self, ticks: u64) {
         for _ in 0..ticks {
             self.step();
@@ -239,11 +236,16 @@
     /// Replaces a process that lost its disk by a new one with an empty disk and a new identity.
     pub fn replace(&mut self, id: ReplicaId) {
         self.nodes.remove(&id);
+        self.add_empty();
+    }
+
+    /// Starts a process with an empty disk and a new identity.
+    pub fn add_empty(&mut self) {
         let id = ReplicaId(self.next_id);
         self.next_id += 1;
         self.replaced_nodes += 1;
         let disk = PersistedState::empty(id);
-        let node = Node::start(disk, self.config(), &mut self.rng);
+        let node = Node::start(disk, self.config.clone(), &mut self.rng);
         self.nodes.insert(id, node);
     }
 
@@ -314,8 +316,13 @@
             node.take_snapshot();
         }
         let ticks = !node.slow_clock || now.is_multiple_of(4);
+        let min_voters = self.min_voters;
         if let Some(replica) = node.replica.as_mut().filter(|_| ticks) {
             replica.tick();
+            if let Some(min_voters) = min_voters {
+                let live = replica.responsive_member_count();
+                replica.set_target_voters(live.max(min_voters));
+            }
         }
         self.process_ready(id);
     }
@@ -456,6 +463,20 @@
     }
 }
 
+fn default_config(target_voters: usize, election_ticks: u32) -> Config {
+    Config {
+        heartbeat_ticks: 2,
+        election_ticks,
+        target_voters,
+        repair_after_ticks: 60,
+        retained_entries: 4,
+        max_batch_bytes: 100,
+        max_chunk_bytes: 40,
+        max_unacknowledged_batches: 3,
+        ..Config::default()
+    }
+}
+
 fn initial_disk(id: ReplicaId, voters: u64, learners: u64) -> PersistedState {
     let member = |number: u64| {
         let role = if number <= voters {
