replication: Replace lost voters as fast as the deployment may lose them

Cause: the platform allows the next loss catch-up-s (4 s) after the start of a replacement; the group replaced a silent voter after a fixed 12 s, counted anew by each leader. Lost voters added up until fewer than a quorum were left.

Change: a voter that is silent loses its vote after a quarter of the time that the deployment gives (setting repair_within_ms, from catch-up-s), and becomes a learner: it still gets the log and its vote comes back as soon as it has caught up. Only a learner that has been silent for 12 s is removed. So a restart costs two entries of the log, and no new join. The change of members is a whole membership on the wire and on disk, as before; old and new builds read each other's.

Ruled out by the 'group' lines: successors that can't join (members within 0.2 s), learners that lag.

--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -16,9 +16,12 @@
     /// elections. Without this limit a leader whose disk hangs would keep its leadership through
     /// heartbeats although it applies no entries.
     pub stalled_disk_ticks: u32,
-    /// Ticks after which an unreachable voter is replaced by a learner that has caught up. Must be
-    /// longer than the restart of an instance, so that a restart does not change the membership.
+    /// Ticks after which an unreachable voter loses its vote, to a learner that has caught up if
+    /// there is one. The counter starts anew in each term.
     pub repair_after_ticks: u32,
+    /// Ticks after which an unreachable learner is removed. Longer than the restart of an instance,
+    /// so that a restart does not end the membership.
+    pub remove_after_ticks: u32,
     /// Whether the leader promotes and removes members automatically.
     pub automatic_repair: bool,
     /// Number of voters that automatic repair aims for.
@@ -53,6 +56,7 @@
             election_ticks: 10,
             stalled_disk_ticks: 20,
             repair_after_ticks: 600,
+            remove_after_ticks: 600,
             automatic_repair: true,
             target_voters: 3,
             max_learner_lag_entries: 16,
@@ -67,13 +71,25 @@
     }
 }
 
+/// Share of the time within which the group must again tolerate a loss that a silent voter may take to
+/// respond. The rest is left for an election, the transfer of the state and two changes of members.
+const SILENT_SHARE: u32 = 4;
+
 impl Config {
+    /// Returns the [`Config::repair_after_ticks`] with which the group again tolerates a loss within
+    /// `ticks` after the start of a replacement.
+    #[must_use]
+    pub fn repair_after(&self, ticks: u32) -> u32 {
+        (ticks / SILENT_SHARE).max(self.election_ticks + 1)
+    }
+
     /// Returns whether every value is within its range.
     pub(crate) fn is_valid(&self) -> bool {
         self.heartbeat_ticks >= 1
             && self.election_ticks > 2 * self.heartbeat_ticks
             && self.stalled_disk_ticks >= self.election_ticks
             && self.repair_after_ticks > self.election_ticks
+            && self.remove_after_ticks >= self.repair_after_ticks
             && (1..=MAX_VOTERS).contains(&self.target_voters)
             && self.max_unacknowledged_batches >= 1
             && (1..=MAX_BATCH_BYTES).contains(&self.max_batch_bytes)
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -58,6 +58,8 @@
     },
     /// Turns a learner that has caught up into a voter.
     Promote(ReplicaId),
+    /// Turns a voter into a learner, which still receives the log.
+    Demote(ReplicaId),
     /// Removes a voter or learner.
     Remove(ReplicaId),
 }
@@ -117,6 +119,7 @@
         match change {
             MembershipChange::AddLearner { id, address } => next.add_learner(*id, address)?,
             MembershipChange::Promote(id) => next.promote(*id)?,
+            MembershipChange::Demote(id) => next.demote(*id)?,
             MembershipChange::Remove(id) => {
                 next.members.remove(id)?;
             }
@@ -152,6 +155,14 @@
         Some(())
     }
 
+    fn demote(&mut self, id: ReplicaId) -> Option<()> {
+        if self.learners().count() >= MAX_LEARNERS || self.role(id) != Some(MemberRole::Voter) {
+            return None;
+        }
+        self.members.get_mut(&id)?.role = MemberRole::Learner;
+        Some(())
+    }
+
     fn with_role(&self, role: MemberRole) -> impl Iterator<Item = ReplicaId> + '_ {
         let matches = move |(_, member): &(&ReplicaId, &Member)| member.role == role;
         self.members.iter().filter(matches).map(|(id, _)| *id)
--- a/crates/consensus/src/repair.rs
+++ b/crates/consensus/src/repair.rs
@@ -3,7 +3,7 @@
 
 use crate::entry::{Payload, ReplicaId};
 use crate::error::ProposeError;
-use crate::membership::{MAX_VOTERS, MemberRole, MembershipChange};
+use crate::membership::{MAX_LEARNERS, MAX_VOTERS, MemberRole, MembershipChange};
 use crate::progress::ReplicationMode;
 use crate::ready::Notice;
 use crate::replica::Replica;
@@ -25,7 +25,7 @@
             return Err(ProposeError::ChangePending);
         }
         match change {
-            MembershipChange::Remove(id) if *id == self.id() => {
+            MembershipChange::Remove(id) | MembershipChange::Demote(id) if *id == self.id() => {
                 return Err(ProposeError::InvalidChange);
             }
             MembershipChange::Promote(id) if !self.is_caught_up(*id) => {
@@ -64,12 +64,12 @@
     }
 
     /// Marks a member whose disk is lost as unreachable, so that automatic repair does not wait for
-    /// [`crate::Config::repair_after_ticks`].
+    /// [`crate::Config::repair_after_ticks`] and [`crate::Config::remove_after_ticks`].
     pub fn mark_disk_lost(&mut self, id: ReplicaId) {
         if let Some(progress) = self.leadership.progress.get_mut(&id) {
             progress.ticks_since_response = progress
                 .ticks_since_response
-                .max(self.config.repair_after_ticks);
+                .max(self.config.remove_after_ticks);
         }
     }
 
@@ -98,11 +98,13 @@
     /// unreachable for [`crate::Config::repair_after_ticks`] by a learner that has caught up, or
     /// towards reaching the target number of voters.
     ///
-    /// The learner is promoted before the unreachable voter is removed. With three voters the group
+    /// The learner is promoted before the unreachable voter is demoted. With three voters the group
     /// then survives the loss of one disk at any time, even if the unreachable voter was only
     /// partitioned; in the opposite order, the loss of a disk while there are only two voters would
-    /// be fatal. With [`MAX_VOTERS`] voters the unreachable one is removed first; until the learner
-    /// is promoted, the remaining six voters survive the loss of two disks. Each change is proposed
+    /// be fatal. With [`MAX_VOTERS`] voters the unreachable one is demoted first; until the learner
+    /// is promoted, the remaining six voters survive the loss of two disks. An unreachable learner
+    /// is removed after [`crate::Config::remove_after_ticks`]; until then a voter that was only
+    /// silent gets its vote back without joining anew. Each change is proposed
     /// only if a quorum of the resulting membership responds and has caught up, so that a second
     /// loss directly afterwards leaves a majority that holds every committed entry.
     pub(crate) fn propose_repair(&mut self) {
@@ -125,7 +127,7 @@
         id == self.id() || self.is_caught_up(id)
     }
 
-    /// Returns the next change: promote a learner, remove an unreachable voter, or remove an
+    /// Returns the next change: promote a learner, demote an unreachable voter, or remove an
     /// unreachable learner.
     fn next_repair_change(&self) -> Option<MembershipChange> {
         let voters = self.membership().voters().count();
@@ -142,23 +144,36 @@
         if let Some(unreachable) = unreachable_voter
             && (voters > self.config.target_voters || at_voter_limit)
         {
-            return Some(MembershipChange::Remove(unreachable));
+            return Some(self.withdraw_vote(unreachable));
         }
         self.longest_unreachable(MemberRole::Learner)
             .map(MembershipChange::Remove)
     }
 
+    fn withdraw_vote(&self, voter: ReplicaId) -> MembershipChange {
+        if self.membership().learners().count() < MAX_LEARNERS {
+            MembershipChange::Demote(voter)
+        } else {
+            MembershipChange::Remove(voter)
+        }
+    }
+
     /// Returns the member with this role that has been unreachable for longest, if that is at least
-    /// [`crate::Config::repair_after_ticks`].
+    /// [`crate::Config::repair_after_ticks`] for a voter and [`crate::Config::remove_after_ticks`]
+    /// for a learner.
     pub(crate) fn longest_unreachable(&self, role: MemberRole) -> Option<ReplicaId> {
         let unreachable_ticks = |id: &ReplicaId| {
             let progress = self.leadership.progress.get(id);
             progress.map_or(0, |progress| progress.ticks_since_response)
         };
+        let limit = match role {
+            MemberRole::Voter => self.config.repair_after_ticks,
+            MemberRole::Learner => self.config.remove_after_ticks,
+        };
         let membership = self.membership();
         let ids = self.leadership.progress.keys().copied();
         ids.filter(|id| membership.role(*id) == Some(role))
-            .filter(|id| unreachable_ticks(id) >= self.config.repair_after_ticks)
+            .filter(|id| unreachable_ticks(id) >= limit)
             .max_by_key(unreachable_ticks)
     }
 }
--- a/crates/consensus/tests/simulation/losses.rs
+++ b/crates/consensus/tests/simulation/losses.rs
@@ -39,11 +39,11 @@
 }
 
 fn config() -> Config {
+    let config = Config::default();
     Config {
-        heartbeat_ticks: 1,
-        election_ticks: 10,
-        repair_after_ticks: 240,
-        ..Config::default()
+        repair_after_ticks: config.repair_after(REPAIR_WITHIN_TICKS),
+        remove_after_ticks: 240,
+        ..config
     }
 }
 
--- a/crates/consensus/tests/simulation/world.rs
+++ b/crates/consensus/tests/simulation/world.rs
@@ -469,6 +469,7 @@
         election_ticks,
         target_voters,
         repair_after_ticks: 60,
+        remove_after_ticks: 60,
         retained_entries: 4,
         max_batch_bytes: 100,
         max_chunk_bytes: 40,
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Result;
 pub use radishpaddle_replication::ReplicaError;
-use radishpaddle_replication::{ReplicaSettings, VoterTarget};
+use radishpaddle_replication::{RepairPace, ReplicaSettings, VoterTarget};
 use radishpaddle_wire::ClientIdentity;
 
 use crate::control_state::ControlState;
@@ -28,7 +28,8 @@
         own_address: settings.peer_address(),
         contacts: settings.controls.clone(),
         voter_target: VoterTarget::Fixed(settings.target_voters),
-        repair_after: Duration::from_millis(settings.repair_after_ms),
+        repair: RepairPace::After(Duration::from_millis(settings.repair_after_ms)),
+        remove_after: Duration::from_millis(settings.repair_after_ms),
         found: false,
     };
     ReplicaHandle::open(settings, identity)
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -9,7 +9,7 @@
 use radishpaddle_kernel::{DecisionLog, LogSampling, boot_clock};
 use radishpaddle_model::{BackendState, Retirement, RoutingConfig, ServerPresence};
 use radishpaddle_replication::{
-    ReplicaError, ReplicaHandle, ReplicaSettings, ReplicaView, VoterTarget,
+    RepairPace, ReplicaError, ReplicaHandle, ReplicaSettings, ReplicaView, VoterTarget,
 };
 use radishpaddle_wire::message::{Hello, request};
 use radishpaddle_wire::{
@@ -414,6 +414,10 @@
 }
 
 fn replica_settings(settings: &CoordinatorSettings) -> ReplicaSettings {
+    let repair = match settings.repair_after_ms {
+        Some(silence_ms) => RepairPace::After(Duration::from_millis(silence_ms)),
+        None => RepairPace::Within(Duration::from_millis(settings.repair_within_ms)),
+    };
     ReplicaSettings {
         data_directory: settings.data_directory.clone(),
         own_address: settings.peer_listen,
@@ -421,7 +425,8 @@
         voter_target: VoterTarget::LiveMembers {
             minimum: 2 * settings.tolerated_losses + 1,
         },
-        repair_after: Duration::from_millis(settings.repair_after_ms),
+        repair,
+        remove_after: Duration::from_millis(settings.remove_after_ms),
         found: settings.found,
     }
 }
--- a/crates/coordinator/src/settings.rs
+++ b/crates/coordinator/src/settings.rs
@@ -34,15 +34,27 @@
     pub tolerated_losses: usize,
     /// Period, in milliseconds, in which backend servers announce themselves.
     pub heartbeat_ms: u64,
-    /// Time, in milliseconds, for which a voter may be unreachable before it is replaced.
-    #[serde(default = "default_repair_after_ms")]
-    pub repair_after_ms: u64,
+    /// Time, in milliseconds, after the start of a replacement within which the group must tolerate
+    /// `tolerated_losses` again.
+    #[serde(default = "default_repair_within_ms")]
+    pub repair_within_ms: u64,
+    /// Time, in milliseconds, for which a voter may be unreachable before it is replaced. Derived from
+    /// `repair_within_ms` if it is not set.
+    #[serde(default)]
+    pub repair_after_ms: Option<u64>,
+    /// Time, in milliseconds, for which a member without a vote may be unreachable before it is removed.
+    #[serde(default = "default_remove_after_ms")]
+    pub remove_after_ms: u64,
     /// Time, in milliseconds, for which callers may cache the addresses of a lookup.
     #[serde(default = "default_address_ttl_ms")]
     pub address_ttl_ms: u64,
 }
 
-const fn default_repair_after_ms() -> u64 {
+const fn default_repair_within_ms() -> u64 {
+    4_000
+}
+
+const fn default_remove_after_ms() -> u64 {
     12_000
 }
 
@@ -55,7 +67,11 @@
     pub fn check(&self, report: &mut ValidationReport) {
         report.range("heartbeat_ms", self.heartbeat_ms, 100, 60_000);
         report.range("tolerated_losses", self.tolerated_losses, 0, 3);
-        report.range("repair_after_ms", self.repair_after_ms, 1_000, 3_600_000);
+        report.range("repair_within_ms", self.repair_within_ms, 1_000, 3_600_000);
+        if let Some(repair_after_ms) = self.repair_after_ms {
+            report.range("repair_after_ms", repair_after_ms, 1_000, 3_600_000);
+        }
+        report.range("remove_after_ms", self.remove_after_ms, 1_000, 3_600_000);
         report.range("address_ttl_ms", self.address_ttl_ms, 100, 600_000);
         if self.instance.is_empty() {
             report.add("instance", &self.instance, "a name");
--- a/crates/replication/src/handle.rs
+++ b/crates/replication/src/handle.rs
@@ -79,6 +79,15 @@
     },
 }
 
+/// How soon automatic repair replaces an unreachable voter.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RepairPace {
+    /// Once the voter has been unreachable for this time.
+    After(Duration),
+    /// Soon enough that the group tolerates another loss within this time after the start of a replacement.
+    Within(Duration),
+}
+
 /// Settings of a replica.
 #[derive(Debug, Clone)]
 pub struct ReplicaSettings {
@@ -90,8 +99,10 @@
     pub contacts: Vec<SocketAddr>,
     /// Number of voters that automatic repair maintains.
     pub voter_target: VoterTarget,
-    /// Time for which a voter may be unreachable before it is replaced.
-    pub repair_after: Duration,
+    /// How soon automatic repair replaces an unreachable voter.
+    pub repair: RepairPace,
+    /// Time for which a member without a vote may be unreachable before it is removed.
+    pub remove_after: Duration,
     /// Whether to found a new group when the data directory is empty. Exactly one replica of a fleet
     /// may do so.
     pub found: bool,
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -8,7 +8,7 @@
 mod supervisor;
 
 pub use handle::{
-    ConfirmedState, JoinRequest, ReplicaError, ReplicaHandle, ReplicaSettings, ReplicaView,
-    VoterTarget,
+    ConfirmedState, JoinRequest, RepairPace, ReplicaError, ReplicaHandle, ReplicaSettings,
+    ReplicaView, VoterTarget,
 };
 pub use state::ReplicatedState;
--- a/crates/replication/src/supervisor.rs
+++ b/crates/replication/src/supervisor.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::disk;
-use crate::handle::{ReplicaCommand, ReplicaSettings, ReplicaView, VoterTarget};
+use crate::handle::{RepairPace, ReplicaCommand, ReplicaSettings, ReplicaView, VoterTarget};
 use crate::replica_task::{ReplicaTask, TICK_PERIOD, TaskEnd};
 use crate::state::ReplicatedState;
 
@@ -26,14 +26,23 @@
         VoterTarget::Fixed(voters) => voters,
         VoterTarget::LiveMembers { minimum } => minimum,
     };
-    let repair_after_ticks = settings.repair_after.as_millis() / TICK_PERIOD.as_millis();
+    let config = Config::default();
+    let repair_after_ticks = match settings.repair {
+        RepairPace::After(silence) => ticks(silence),
+        RepairPace::Within(time) => config.repair_after(ticks(time)),
+    };
     Config {
         target_voters,
-        repair_after_ticks: u32::try_from(repair_after_ticks).unwrap_or(u32::MAX),
-        ..Config::default()
+        repair_after_ticks,
+        remove_after_ticks: ticks(settings.remove_after).max(repair_after_ticks),
+        ..config
     }
 }
 
+fn ticks(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis() / TICK_PERIOD.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Replica restored from an open data directory, ready to run.
 pub(crate) struct OpenReplica<S> {
     storage: Storage,
--- a/crates/replication/tests/rejoin.rs
+++ b/crates/replication/tests/rejoin.rs
@@ -11,7 +11,7 @@
 use radishpaddle_consensus::membership::MAX_VOTERS;
 use radishpaddle_consensus::{MemberRole, Message, Role};
 use radishpaddle_replication::{
-    JoinRequest, ReplicaHandle, ReplicaSettings, ReplicatedState, VoterTarget,
+    JoinRequest, RepairPace, ReplicaHandle, ReplicaSettings, ReplicatedState, VoterTarget,
 };
 use radishpaddle_wire::message::{Empty, Hello, request, response};
 use radishpaddle_wire::{
@@ -104,7 +104,8 @@
         own_address: address,
         contacts: contacts.to_vec(),
         voter_target: VoterTarget::LiveMembers { minimum: 3 },
-        repair_after: REPAIR_AFTER,
+        repair: RepairPace::After(REPAIR_AFTER),
+        remove_after: REPAIR_AFTER,
         found: contacts.first() == Some(&address),
     };
     let identity = ClientIdentity {
@@ -180,8 +181,10 @@
         .unwrap();
 
     nodes[unreachable].server = None;
-    wait_until("the unreachable replica is removed from the voters", || {
-        voters(&nodes[leader]) == REPLICAS - 1
+    wait_until("the unreachable replica is removed", || {
+        let view = nodes[leader].replica.view();
+        let id = nodes[unreachable].replica.view().id;
+        voters(&nodes[leader]) == REPLICAS - 1 && view.membership.role(id).is_none()
     })
     .await;
     nodes[leader].replica.propose(5).await.unwrap();
