consensus: Let a new leader count only members that have responded

Change: a member counts as responsive after its first response in the term. Only check quorum still gives the members the election timeout for it, or no leader could keep its role.

Test: a_new_leader_counts_only_members_that_have_responded failed before (3 instead of 1).

--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -110,16 +110,21 @@
         }
     }
 
-    /// Returns whether a quorum responded within the minimum election timeout (check quorum).
+    /// Returns whether a quorum responded within the minimum election timeout (check quorum). At
+    /// the start of a term the members have as long for their first response.
     fn has_active_quorum(&self) -> bool {
         let limit = self.config.election_ticks;
+        let is_active = |progress: &Progress| progress.ticks_since_response < limit;
+        let progress = &self.leadership.progress;
         self.membership()
-            .is_quorum(|id| self.responded_within(id, limit))
+            .is_quorum(|id| id == self.id() || progress.get(&id).is_some_and(is_active))
     }
 
-    /// Returns whether the replica is this one or responded within the last `limit` ticks.
+    /// Returns whether the replica is this one or responded within the last `limit` ticks of this
+    /// term.
     pub(crate) fn responded_within(&self, id: ReplicaId, limit: u32) -> bool {
-        let responded = |progress: &Progress| progress.ticks_since_response < limit;
+        let responded =
+            |progress: &Progress| progress.has_responded && progress.ticks_since_response < limit;
         id == self.id() || self.leadership.progress.get(&id).is_some_and(responded)
     }
 
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -31,7 +31,9 @@
     pub(crate) awaiting_response: bool,
     /// Last index of each unacknowledged batch.
     pub(crate) unacknowledged_batches: VecDeque<u64>,
-    /// Ticks since the last response in this term.
+    /// Whether the replica has responded in this term. A new leader doesn't know who is alive.
+    pub(crate) has_responded: bool,
+    /// Ticks since the last response in this term, or since the term began.
     pub(crate) ticks_since_response: u32,
     /// Newest read round that the replica acknowledged.
     pub(crate) read_round: u64,
@@ -46,6 +48,7 @@
             outgoing_snapshot: None,
             awaiting_response: false,
             unacknowledged_batches: VecDeque::new(),
+            has_responded: false,
             ticks_since_response: 0,
             read_round: 0,
         }
@@ -53,6 +56,7 @@
 
     /// Records that a response arrived, for check quorum and the read round.
     pub(crate) fn record_response(&mut self, read_round: u64) {
+        self.has_responded = true;
         self.ticks_since_response = 0;
         self.read_round = self.read_round.max(read_round);
     }
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -298,6 +298,24 @@
     assert!(replica.propose(Arc::from([])).is_err());
 }
 
+/// Guards against learners that are promoted, and a quorum that grows, because a new leader takes silent members for
+/// live ones.
+#[test]
+fn a_new_leader_counts_only_members_that_have_responded() {
+    let mut replica = replica(Vec::new());
+    elect(&mut replica);
+    sync_all(&mut replica);
+    let before = replica.responsive_member_count();
+    acknowledge(&mut replica, 2, 0);
+    let after = replica.responsive_member_count();
+    let health = replica.group_health().unwrap();
+
+    assert_eq!(before, 1, "no member has responded yet");
+    assert_eq!(after, 2);
+    assert_eq!(health.silent, [THIRD]);
+    assert_eq!(health.tolerated_losses, 0);
+}
+
 /// Guards against two memberships whose quorums do not overlap: a new leader may not know yet
 /// whether the change of an earlier leader is committed.
 #[test]
