--- a/crates/replication/tests/rejoin.rs
+++ b/crates/replication/tests/rejoin.rs
@@ -1,164 +1,26 @@
 //! Joining a running group: a voter that was removed while unreachable, and a new replica whose contacts
 //! change.
 
-use std::net::{Ipv4Addr, SocketAddr};
+mod common;
+
 use std::path::Path;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
-use anyhow::Result;
+use common::{Node, free_address, start, start_replicas, voters, wait_until};
 use radishpaddle_consensus::membership::MAX_VOTERS;
-use radishpaddle_consensus::{MemberRole, Message, Role};
-use radishpaddle_replication::{
-    JoinRequest, RepairPace, ReplicaHandle, ReplicaSettings, ReplicatedState, VoterTarget,
-};
-use radishpaddle_wire::message::{Empty, Hello, request, response};
-use radishpaddle_wire::{
-    ClientIdentity, PROTOCOL_VERSION, PeerHandler, PeerIdentity, PeerSecurity, PeerServer,
-    ServerIdentity, decode,
-};
+use radishpaddle_consensus::{MemberRole, Role};
+use radishpaddle_replication::RepairPace;
 
 const REPLICAS: usize = 4;
-const REPAIR_AFTER: Duration = Duration::from_millis(1_500);
-const CONDITION_TIMEOUT: Duration = Duration::from_secs(20);
+const REPAIR: RepairPace = RepairPace::After(Duration::from_millis(1_500));
 /// Replicas of a group in which most are learners.
 const MANY_REPLICAS: usize = 19;
 /// Time after the start by which every replica of a new group must be a member; the platform sends traffic 8 s
 /// after the start.
 const MANY_JOINED_WITHIN: Duration = Duration::from_secs(8);
 
-/// State machine that adds up the committed numbers.
-#[derive(Debug, Clone, Default)]
-struct Sum(u64);
-
-impl ReplicatedState for Sum {
-    type Command = u64;
-    type Outcome = u64;
-
-    fn apply(&mut self, command: &u64) -> Result<u64> {
-        self.0 += command;
-        Ok(self.0)
-    }
-
-    fn encode(&self) -> Result<Vec<u8>> {
-        Ok(self.0.to_be_bytes().to_vec())
-    }
-
-    fn decode(bytes: &[u8]) -> Result<Self> {
-        if bytes.is_empty() {
-            return Ok(Self::default());
-        }
-        Ok(Self(u64::from_be_bytes(bytes.try_into()?)))
-    }
-}
-
-struct Handler(ReplicaHandle<Sum>);
-
-impl PeerHandler for Handler {
-    async fn handle(&self, _peer: PeerIdentity, request: request::Kind) -> response::Kind {
-        match request {
-            request::Kind::Consensus(bytes) => {
-                self.0.receive(Message::decode(&bytes).unwrap()).await;
-            }
-            request::Kind::Join(bytes) => {
-                let join: JoinRequest = decode(&bytes).unwrap();
-                self.0.receive_join(join).await;
-            }
-            _ => (),
-        }
-        response::Kind::Empty(Empty {})
-    }
-}
-
-struct Node {
-    address: SocketAddr,
-    replica: ReplicaHandle<Sum>,
-    server: Option<PeerServer>,
-}
-
-impl Node {
-    async fn start_server(&mut self) {
-        let identity = ServerIdentity {
-            hello: hello(),
-            security: PeerSecurity::Plain,
-        };
-        let handler = Arc::new(Handler(self.replica.clone()));
-        let server = PeerServer::bind(self.address, identity, handler).await;
-        self.server = Some(server.unwrap());
-    }
-}
-
-fn hello() -> Hello {
-    Hello {
-        fleet: "test".to_owned(),
-        instance: "replica".to_owned(),
-        incarnation: 1,
-        protocol_version: PROTOCOL_VERSION,
-    }
-}
-
-async fn start(directory: &Path, address: SocketAddr, contacts: &[SocketAddr]) -> Node {
-    let settings = ReplicaSettings {
-        data_directory: directory.join(address.to_string()),
-        own_address: address,
-        contacts: contacts.to_vec(),
-        voter_target: VoterTarget::LiveMembers { minimum: 3 },
-        repair: RepairPace::After(REPAIR_AFTER),
-        remove_after: REPAIR_AFTER,
-        found: contacts.first() == Some(&address),
-    };
-    let identity = ClientIdentity {
-        hello: hello(),
-        security: PeerSecurity::Plain,
-    };
-    let mut node = Node {
-        address,
-        replica: ReplicaHandle::open(settings, identity).unwrap(),
-        server: None,
-    };
-    node.start_server().await;
-    node
-}
-
 async fn start_group(directory: &Path) -> Vec<Node> {
-    start_replicas(directory, REPLICAS).await
-}
-
-/// Starts replicas that all have the first three as contacts.
-async fn start_replicas(directory: &Path, count: usize) -> Vec<Node> {
-    let addresses: Vec<SocketAddr> = (0..count).map(|_| free_address()).collect();
-    let contacts = &addresses[..3];
-    let mut nodes = Vec::new();
-    for address in &addresses {
-        nodes.push(start(directory, *address, contacts).await);
-    }
-    nodes
-}
-
-/// Returns a free address with an IP of its own. Outgoing connections come from 127.0.0.1, so none of them takes the port
-/// before it is bound.
-fn free_address() -> SocketAddr {
-    static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
-    let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
-    let listener = std::net::TcpListener::bind((Ipv4Addr::new(127, 88, 1, host), 0)).unwrap();
-    listener.local_addr().unwrap()
-}
-
-async fn wait_until(description: &str, mut condition: impl FnMut() -> bool) {
-    let waited = tokio::time::timeout(CONDITION_TIMEOUT, async {
-        while !condition() {
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
-    });
-    assert!(
-        waited.await.is_ok(),
-        "condition not met within {CONDITION_TIMEOUT:?}: {description}"
-    );
-}
-
-fn voters(node: &Node) -> usize {
-    node.replica.view().membership.voters().count()
+    start_replicas(directory, REPLICAS, REPAIR).await
 }
 
 /// Guards against a removed voter that never rejoins: its membership dates from before its removal and
@@ -213,7 +75,7 @@
     })
     .await;
     let unused_address = free_address();
-    let new_node = start(directory.path(), free_address(), &[unused_address]).await;
+    let new_node = start(directory.path(), free_address(), &[unused_address], REPAIR).await;
     tokio::time::sleep(Duration::from_secs(2)).await;
     assert_eq!(voters(&new_node), 0, "its only contact does not exist");
 
@@ -233,7 +95,7 @@
     let directory = tempfile::tempdir().unwrap();
     let started_at = tokio::time::Instant::now();
 
-    let nodes = start_replicas(directory.path(), MANY_REPLICAS).await;
+    let nodes = start_replicas(directory.path(), MANY_REPLICAS, REPAIR).await;
 
     wait_until("every replica knows all members", || {
         let members = |node: &Node| node.replica.view().membership.members.len();
