storage: Sync the directory before its content is trusted

Opening synced the directory only when the log had a segment, and after it had removed files.

Opening now syncs the directory before it reads anything.

The new test fails one file operation of the script with a full disk, opens the directory again with a stop at each operation in turn, and loses the power: what an opening has returned must be there afterwards.

Ruled out by this test and by stop_at_every_operation without a crash, which is a disk that stays full: a directory that doesn't open once the disk has room, and an acknowledged entry that is missing. Entries that an interrupted truncation discarded may come back after a power loss. They were not committed, and a log with more uncommitted entries takes nothing from a vote that was given before.

--- a/crates/storage/src/storage.rs
+++ b/crates/storage/src/storage.rs
@@ -147,6 +147,9 @@
         };
         let lock = lock(&directory)?;
         directory.remove_temporary_files()?;
+        // After a failed sync of the directory, names are visible that a power loss would undo. What is read below
+        // counts as durable: a vote is not cast twice, and older files are removed.
+        directory.sync()?;
         let (hard_state, is_new) = open_hard_state(&directory, new_replica_id)?;
         let snapshot = read_newest_snapshot(&directory)?;
         let log = recover_log(&directory)?;
--- a/crates/storage/tests/faults/main.rs
+++ b/crates/storage/tests/faults/main.rs
@@ -112,6 +112,51 @@
     check_with_fault_at_every_operation(Fault::Error(io::ErrorKind::StorageFull));
 }
 
+/// Guards against a directory that is opened again after a full disk and whose content is lost at a power loss during
+/// or after the opening: the names that were changed last are not durable, because the sync of the directory failed.
+#[test]
+fn disk_full_before_power_loss_while_opening() {
+    for operation in 1.. {
+        let mut stop = 0;
+        let mut stopped = true;
+        while stopped {
+            stop += 1;
+            for crash in 0..8 {
+                let system = MemoryFileSystem::default();
+                system.fail_at(operation, Fault::Error(io::ErrorKind::StorageFull));
+                let (acknowledged, interrupted) = run_script(&system);
+                if !system.fault_triggered() {
+                    return;
+                }
+                system.fail_at(stop, Fault::Stop);
+                let opened = open(&system).map(|(_, recovered)| Content::from(recovered));
+                stopped = system.fault_triggered();
+                system.clear_faults();
+                match crash {
+                    0 => {}
+                    1 => system.crash(|| 0.0),
+                    2 => system.crash(|| 1.0),
+                    seed => system.crash(pseudo_random_shares(seed)),
+                }
+                let copy = system.copy();
+                let interrupted = interrupted.unwrap_or_else(empty_write);
+                check_restart(&system, &acknowledged, &interrupted);
+                if let (Ok(opened), false) = (opened, crash == 0) {
+                    let (_storage, recovered) = open(&copy).unwrap();
+                    let found = Content::from(recovered);
+                    assert_eq!(
+                        (found.hard_state, &found.snapshot),
+                        (opened.hard_state, &opened.snapshot),
+                        "after operation {operation}"
+                    );
+                    // Entries that an interrupted write discarded may come back: they were not committed.
+                    assert!(found.entries.starts_with(&opened.entries), "{found:?}");
+                }
+            }
+        }
+    }
+}
+
 /// Guards against a write that is acknowledged although the disk is full, and against an error
 /// other than [`StorageError::DiskFull`].
 #[test]
