replication: Keep the published state when the storage is opened again

The view showed that state, which may lack 2,000 entries, until the log was applied anew. The proof of freshness of the coordinator went on counting meanwhile.

The view now keeps the applied index and the state that it has shown until the replica has applied more. This is correct because a replica applies only committed entries that are durable on it, so a shown state never has to be taken back, and one rule covers every reader of the view instead of the proof alone.

From reading: a proof round of the leader ended with the confirmed read, which the replica answers before it publishes the view, so on several threads the state that the reader then took could be older. The round now waits for the view to reach the index, as the round of a follower does.

A replica can be opened on a file system of the caller's choice (ReplicaHandle::open_on), which the test uses to fill a disk.

--- a/crates/coordinator/src/confirm.rs
+++ b/crates/coordinator/src/confirm.rs
@@ -93,12 +93,14 @@
     }
 }
 
-/// Runs one round: obtains a read index from the leader and waits until it is applied locally.
+/// Runs one round: obtains a read index and waits until the view contains it. The view never falls back behind it.
 async fn run_round(replica: &ReplicaHandle<CoordinatorState>, leader: &LeaderClient) -> Option<()> {
-    if replica.view().role == Role::Leader {
-        return replica.read_confirmed().await.ok().map(|_| ());
-    }
-    let index = leader.read_index(replica).await?;
+    let index = if replica.view().role == Role::Leader {
+        replica.read_confirmed().await.ok()?.index
+    } else {
+        leader.read_index(replica).await?
+    };
+    // The proof covers what the view shows, and a confirmed read may be answered before the view is updated.
     let mut view = replica.watch();
     let reached = view.wait_for(|view| view.applied_index >= index).await;
     reached.ok().map(|_| ())
--- a/crates/replication/src/handle.rs
+++ b/crates/replication/src/handle.rs
@@ -9,12 +9,13 @@
 use radishpaddle_consensus::{
     GroupHealth, Membership, MembershipChange, Message, ProposeError, ReplicaId, Role,
 };
+use radishpaddle_storage::{FileSystem, LocalFileSystem};
 use radishpaddle_wire::ClientIdentity;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::state::ReplicatedState;
-use crate::supervisor::{self, OpenReplica, ReplicaInputs};
+use crate::supervisor::{OpenReplica, ReplicaInputs, Supervisor};
 
 /// Capacity of the queue between the handles and the replica task, in commands.
 const COMMAND_QUEUE_CAPACITY: usize = 1024;
@@ -49,7 +50,8 @@
     pub membership: Membership,
     /// Health of the group; only the leader knows it.
     pub health: Option<GroupHealth>,
-    /// Index of the last log entry that was applied to the state.
+    /// Index of the last log entry that was applied to the state. Never decreases, not even when the data directory is
+    /// opened again.
     pub applied_index: u64,
     /// Applied state. On a follower it may lag behind the leader.
     pub state: Arc<S>,
@@ -57,6 +59,19 @@
     pub storage_works: bool,
 }
 
+impl<S> ReplicaView<S> {
+    /// Keeps the state of the previous view as long as it is newer. A replica that was opened again starts with the
+    /// state of its snapshot and applies the log anew, and callers rely on what the replica has already shown: a
+    /// proof of freshness covers every later view. What was applied is committed, so it stays correct.
+    pub(crate) fn not_older_than(mut self, previous: &Self) -> Self {
+        if previous.applied_index > self.applied_index {
+            self.applied_index = previous.applied_index;
+            self.state = Arc::clone(&previous.state);
+        }
+        self
+    }
+}
+
 /// Result of a linearizable read: the state with every command acknowledged before the read began.
 #[derive(Debug, Clone)]
 pub struct ConfirmedState<S> {
@@ -159,15 +174,33 @@
     ///
     /// Fails when the data directory is in use, damaged, or not a data directory of this version.
     pub fn open(settings: ReplicaSettings, identity: ClientIdentity) -> Result<Self> {
-        let opened = OpenReplica::<S>::open(&settings)?;
+        Self::open_on(Arc::new(LocalFileSystem), settings, identity)
+    }
+
+    /// Opens the data directory on the given file system and starts the replica, as [`Self::open`] does.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the data directory is in use, damaged, or not a data directory of this version.
+    pub fn open_on(
+        file_system: Arc<dyn FileSystem>,
+        settings: ReplicaSettings,
+        identity: ClientIdentity,
+    ) -> Result<Self> {
+        let opened = OpenReplica::<S>::open(&file_system, &settings)?;
         let (commands, receiver) = mpsc::channel(COMMAND_QUEUE_CAPACITY);
-        let (view, watch) = watch::channel(opened.view());
+        let (view, watch) = watch::channel(opened.first_view());
         let contacts = watch::Sender::new(settings.contacts.clone());
         let inputs = ReplicaInputs {
             commands: receiver,
             contacts: contacts.subscribe(),
         };
-        tokio::spawn(supervisor::run(settings, identity, opened, inputs, view));
+        let supervisor = Supervisor {
+            file_system,
+            settings,
+            identity,
+        };
+        tokio::spawn(supervisor.run(opened, inputs, view));
         Ok(Self {
             commands,
             contacts,
--- a/crates/replication/src/replica_task.rs
+++ b/crates/replication/src/replica_task.rs
@@ -471,6 +471,7 @@
             storage_works: self.storage_works,
         };
         self.view.send_if_modified(|current| {
+            let view = view.not_older_than(current);
             let is_unchanged = current.role == view.role
                 && current.term == view.term
                 && current.leader == view.leader
--- a/crates/replication/src/supervisor.rs
+++ b/crates/replication/src/supervisor.rs
@@ -7,7 +7,7 @@
 
 use anyhow::{Context as _, Result};
 use radishpaddle_consensus::{Config, PersistedState, Replica};
-use radishpaddle_storage::Storage;
+use radishpaddle_storage::{FileSystem, Options, Storage};
 use radishpaddle_wire::ClientIdentity;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -52,9 +52,16 @@
 }
 
 impl<S: ReplicatedState> OpenReplica<S> {
-    pub(crate) fn open(settings: &ReplicaSettings) -> Result<Self> {
+    pub(crate) fn open(
+        file_system: &Arc<dyn FileSystem>,
+        settings: &ReplicaSettings,
+    ) -> Result<Self> {
+        let options = Options {
+            file_system: Arc::clone(file_system),
+            ..Options::default()
+        };
         let (mut storage, recovered) =
-            Storage::open(&settings.data_directory, disk::new_replica_id())?;
+            Storage::open_with(&settings.data_directory, disk::new_replica_id(), options)?;
         if recovered.truncated_bytes > 0 {
             let bytes = recovered.truncated_bytes;
             log::warn!("replica: truncated {bytes} bytes of an interrupted write");
@@ -91,7 +98,8 @@
         })
     }
 
-    pub(crate) fn view(&self) -> ReplicaView<S> {
+    /// Returns the view before the replica runs.
+    pub(crate) fn first_view(&self) -> ReplicaView<S> {
         ReplicaView {
             id: self.replica.id(),
             role: self.replica.role(),
@@ -112,59 +120,68 @@
     pub(crate) contacts: watch::Receiver<Vec<SocketAddr>>,
 }
 
-/// Runs the replica until every handle is dropped. After a storage failure, fails queued commands and
-/// reopens the data directory every [`REOPEN_DELAY`], since a full disk may have space again.
-pub(crate) async fn run<S: ReplicatedState>(
-    settings: ReplicaSettings,
-    identity: ClientIdentity,
-    opened: OpenReplica<S>,
-    inputs: ReplicaInputs<S>,
-    view: watch::Sender<ReplicaView<S>>,
-) {
-    let ReplicaInputs {
-        mut commands,
-        contacts,
-    } = inputs;
-    let mut next = Some(opened);
-    loop {
-        if let Some(opened) = next.take() {
-            view.send_modify(|current| *current = opened.view());
-            let (disk_results, disk_results_receiver) = mpsc::unbounded_channel();
-            let task = ReplicaTask {
-                replica: opened.replica,
-                state: opened.state,
-                disk_jobs: disk::spawn(opened.storage, disk_results),
-                messages_after_sync: HashMap::new(),
-                snapshot_index: opened.snapshot_index,
-                saving_snapshot: false,
-                proposals: BTreeMap::new(),
-                reads: HashMap::new(),
-                last_read_id: 0,
-                peers: HashMap::new(),
-                identity: identity.clone(),
-                own_address: settings.own_address.to_string().into(),
-                contacts: contacts.clone(),
-                voter_target: settings.voter_target,
-                ticks_until_join: 0,
-                joining: VecDeque::new(),
-                removed: false,
-                view: &view,
-                storage_works: true,
-            };
-            if task.run(&mut commands, disk_results_receiver).await == TaskEnd::HandlesDropped {
-                return;
+/// Keeps a replica running.
+pub(crate) struct Supervisor {
+    /// File system that holds the data directory.
+    pub(crate) file_system: Arc<dyn FileSystem>,
+    pub(crate) settings: ReplicaSettings,
+    pub(crate) identity: ClientIdentity,
+}
+
+impl Supervisor {
+    /// Runs the replica until every handle is dropped. After a storage failure, fails queued commands and
+    /// reopens the data directory every [`REOPEN_DELAY`], since a full disk may have space again.
+    pub(crate) async fn run<S: ReplicatedState>(
+        self,
+        opened: OpenReplica<S>,
+        inputs: ReplicaInputs<S>,
+        view: watch::Sender<ReplicaView<S>>,
+    ) {
+        let ReplicaInputs {
+            mut commands,
+            contacts,
+        } = inputs;
+        let mut next = Some(opened);
+        loop {
+            if let Some(opened) = next.take() {
+                view.send_modify(|current| *current = opened.first_view().not_older_than(current));
+                let (disk_results, disk_results_receiver) = mpsc::unbounded_channel();
+                let task = ReplicaTask {
+                    replica: opened.replica,
+                    state: opened.state,
+                    disk_jobs: disk::spawn(opened.storage, disk_results),
+                    messages_after_sync: HashMap::new(),
+                    snapshot_index: opened.snapshot_index,
+                    saving_snapshot: false,
+                    proposals: BTreeMap::new(),
+                    reads: HashMap::new(),
+                    last_read_id: 0,
+                    peers: HashMap::new(),
+                    identity: self.identity.clone(),
+                    own_address: self.settings.own_address.to_string().into(),
+                    contacts: contacts.clone(),
+                    voter_target: self.settings.voter_target,
+                    ticks_until_join: 0,
+                    joining: VecDeque::new(),
+                    removed: false,
+                    view: &view,
+                    storage_works: true,
+                };
+                if task.run(&mut commands, disk_results_receiver).await == TaskEnd::HandlesDropped {
+                    return;
+                }
             }
-        }
-        let reopen_at = tokio::time::Instant::now() + REOPEN_DELAY;
-        while let Ok(command) = tokio::time::timeout_at(reopen_at, commands.recv()).await {
-            match command {
-                Some(command) => command.fail(),
-                None => return,
+            let reopen_at = tokio::time::Instant::now() + REOPEN_DELAY;
+            while let Ok(command) = tokio::time::timeout_at(reopen_at, commands.recv()).await {
+                match command {
+                    Some(command) => command.fail(),
+                    None => return,
+                }
+            }
+            match OpenReplica::open(&self.file_system, &self.settings) {
+                Ok(opened) => next = Some(opened),
+                Err(error) => log::warn!("replica: cannot reopen the data directory: {error:#}"),
             }
-        }
-        match OpenReplica::open(&settings) {
-            Ok(opened) => next = Some(opened),
-            Err(error) => log::warn!("replica: cannot reopen the data directory: {error:#}"),
         }
     }
 }
--- a/crates/replication/tests/common/mod.rs
+++ b/crates/replication/tests/common/mod.rs
@@ -1,9 +1,11 @@
 //! Replicas that run in one process, each with a data directory and an address of its own.
 
+use std::fmt;
+use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::time::Duration;
 
 use anyhow::Result;
@@ -11,6 +13,7 @@
 use radishpaddle_replication::{
     JoinRequest, RepairPace, ReplicaHandle, ReplicaSettings, ReplicatedState, VoterTarget,
 };
+use radishpaddle_storage::{DataFile, FileSystem, LocalFileSystem};
 use radishpaddle_wire::message::{Empty, Hello, request, response};
 use radishpaddle_wire::{
     ClientIdentity, PROTOCOL_VERSION, PeerHandler, PeerIdentity, PeerSecurity, PeerServer,
@@ -92,12 +95,96 @@
     }
 }
 
+/// Disk that refuses every write while it is full. Clones share the same disk.
+#[derive(Debug, Clone, Default)]
+pub struct Disk {
+    pub full: Arc<AtomicBool>,
+}
+
+impl Disk {
+    fn check_space(&self) -> io::Result<()> {
+        if self.full.load(Ordering::Relaxed) {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        Ok(())
+    }
+}
+
+impl FileSystem for Disk {
+    fn create_directory(&self, path: &Path) -> io::Result<()> {
+        LocalFileSystem.create_directory(path)
+    }
+
+    fn list(&self, directory: &Path) -> io::Result<Vec<String>> {
+        LocalFileSystem.list(directory)
+    }
+
+    fn read(&self, path: &Path) -> io::Result<Vec<u8>> {
+        LocalFileSystem.read(path)
+    }
+
+    fn open(&self, path: &Path) -> io::Result<Box<dyn DataFile>> {
+        if !path.exists() {
+            self.check_space()?;
+        }
+        Ok(Box::new(File {
+            disk: self.clone(),
+            file: LocalFileSystem.open(path)?,
+        }))
+    }
+
+    fn lock(&self, path: &Path) -> io::Result<Box<dyn fmt::Debug + Send>> {
+        LocalFileSystem.lock(path)
+    }
+
+    fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
+        self.check_space()?;
+        LocalFileSystem.rename(from, to)
+    }
+
+    fn remove(&self, path: &Path) -> io::Result<()> {
+        LocalFileSystem.remove(path)
+    }
+
+    fn sync_directory(&self, path: &Path) -> io::Result<()> {
+        LocalFileSystem.sync_directory(path)
+    }
+}
+
+#[derive(Debug)]
+struct File {
+    disk: Disk,
+    file: Box<dyn DataFile>,
+}
+
+impl DataFile for File {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.disk.check_space()?;
+        self.file.write(bytes)
+    }
+
+    fn write_at(&mut self, offset: u64, bytes: &[u8]) -> io::Result<usize> {
+        self.disk.check_space()?;
+        self.file.write_at(offset, bytes)
+    }
+
+    fn set_length(&mut self, length: u64) -> io::Result<()> {
+        self.disk.check_space()?;
+        self.file.set_length(length)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.file.sync()
+    }
+}
+
 /// Starts a replica, which founds the group if it is its own first contact.
 pub async fn start(
     directory: &Path,
     address: SocketAddr,
     contacts: &[SocketAddr],
     repair: RepairPace,
+    disk: &Disk,
 ) -> Node {
     let settings = ReplicaSettings {
         data_directory: directory.join(address.to_string()),
@@ -114,20 +201,20 @@
     };
     let mut node = Node {
         address,
-        replica: ReplicaHandle::open(settings, identity).unwrap(),
+        replica: ReplicaHandle::open_on(Arc::new(disk.clone()), settings, identity).unwrap(),
         server: None,
     };
     node.start_server().await;
     node
 }
 
-/// Starts replicas that all have the first three as contacts.
-pub async fn start_replicas(directory: &Path, count: usize, repair: RepairPace) -> Vec<Node> {
-    let addresses: Vec<SocketAddr> = (0..count).map(|_| free_address()).collect();
+/// Starts a replica for each disk. All have the first three as contacts.
+pub async fn start_replicas(directory: &Path, disks: &[Disk], repair: RepairPace) -> Vec<Node> {
+    let addresses: Vec<SocketAddr> = disks.iter().map(|_| free_address()).collect();
     let contacts = &addresses[..3];
     let mut nodes = Vec::new();
-    for address in &addresses {
-        nodes.push(start(directory, *address, contacts, repair).await);
+    for (address, disk) in addresses.iter().zip(disks) {
+        nodes.push(start(directory, *address, contacts, repair, disk).await);
     }
     nodes
 }
--- a/crates/replication/tests/losses.rs
+++ b/crates/replication/tests/losses.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use common::{Node, free_address, start, start_replicas, voters, wait_until};
+use common::{Disk, Node, free_address, start, start_replicas, voters, wait_until};
 use radishpaddle_consensus::Role;
 use radishpaddle_replication::RepairPace;
 
@@ -27,7 +27,8 @@
 async fn leaders_lost_for_good_in_series_leave_a_quorum() {
     let directory = tempfile::tempdir().unwrap();
     let repair = RepairPace::Within(REPAIR_WITHIN);
-    let mut nodes = start_replicas(directory.path(), REPLICAS, repair).await;
+    let mut nodes =
+        start_replicas(directory.path(), &vec![Disk::default(); REPLICAS], repair).await;
     wait_until("all replicas are voters", || {
         nodes.iter().all(|node| voters(node) == REPLICAS)
     })
@@ -38,7 +39,16 @@
         nodes.remove(lost);
         let contacts: Vec<SocketAddr> = nodes.iter().map(|node| node.address).collect();
         let address = free_address();
-        nodes.push(start(directory.path(), address, &contacts[..3], repair).await);
+        nodes.push(
+            start(
+                directory.path(),
+                address,
+                &contacts[..3],
+                repair,
+                &Disk::default(),
+            )
+            .await,
+        );
         tokio::time::sleep(REPAIR_WITHIN).await;
 
         let leader = leader(&nodes).unwrap_or_else(|| panic!("no leader after loss {loss}"));
--- a/crates/replication/tests/rejoin.rs
+++ b/crates/replication/tests/rejoin.rs
@@ -6,7 +6,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use common::{Node, free_address, start, start_replicas, voters, wait_until};
+use common::{Disk, Node, free_address, start, start_replicas, voters, wait_until};
 use radishpaddle_consensus::membership::MAX_VOTERS;
 use radishpaddle_consensus::{MemberRole, Role};
 use radishpaddle_replication::RepairPace;
@@ -20,7 +20,7 @@
 const MANY_JOINED_WITHIN: Duration = Duration::from_secs(8);
 
 async fn start_group(directory: &Path) -> Vec<Node> {
-    start_replicas(directory, REPLICAS, REPAIR).await
+    start_replicas(directory, &vec![Disk::default(); REPLICAS], REPAIR).await
 }
 
 /// Guards against a removed voter that never rejoins: its membership dates from before its removal and
@@ -75,7 +75,14 @@
     })
     .await;
     let unused_address = free_address();
-    let new_node = start(directory.path(), free_address(), &[unused_address], REPAIR).await;
+    let new_node = start(
+        directory.path(),
+        free_address(),
+        &[unused_address],
+        REPAIR,
+        &Disk::default(),
+    )
+    .await;
     tokio::time::sleep(Duration::from_secs(2)).await;
     assert_eq!(voters(&new_node), 0, "its only contact does not exist");
 
@@ -95,7 +102,12 @@
     let directory = tempfile::tempdir().unwrap();
     let started_at = tokio::time::Instant::now();
 
-    let nodes = start_replicas(directory.path(), MANY_REPLICAS, REPAIR).await;
+    let nodes = start_replicas(
+        directory.path(),
+        &vec![Disk::default(); MANY_REPLICAS],
+        REPAIR,
+    )
+    .await;
 
     wait_until("every replica knows all members", || {
         let members = |node: &Node| node.replica.view().membership.members.len();
