replication: Wait for the successor before a stopping leader ends

Callers saw the group without a leader for an election timeout after each planned stop of the leading coordinator.

step_down only queued the transfer and returned. The coordinator flushes its log and ends right after it, on a runtime with one thread, so the replica task never ran and the successor was never asked. The control program waited for its view to change; the coordinator did not. step_down now waits itself, at most 600 ms; a transfer ends after 500 ms.

Evidence: a_transfer_returns_once_leadership_is_handed_over failed before (role Leader after step_down) and passes now.

--- a/crates/replication/src/handle.rs
+++ b/crates/replication/src/handle.rs
@@ -19,6 +19,10 @@
 /// Capacity of the queue between the handles and the replica task, in commands.
 const COMMAND_QUEUE_CAPACITY: usize = 1024;
 
+/// Maximum time for which a stopping leader waits for its successor. Longer than the 10 ticks of 50 ms after which the
+/// leader gives up a transfer.
+pub const TRANSFER_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// Reason why a command or read failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReplicaError {
@@ -255,9 +259,13 @@
         self.contacts.send_replace(contacts);
     }
 
-    /// Starts a transfer of leadership to another replica, before a planned stop.
+    /// Transfers the leadership to another replica, before a planned stop. Returns once this replica does not lead, or
+    /// after [`TRANSFER_TIMEOUT`]. A process that ended earlier would not have asked the other replica yet.
     pub async fn step_down(&self) {
+        let mut view = self.watch();
         let _ = self.send(ReplicaCommand::StepDown).await;
+        let transferred = view.wait_for(|view| view.role != Role::Leader);
+        let _ = tokio::time::timeout(TRANSFER_TIMEOUT, transferred).await;
     }
 
     async fn send(&self, command: ReplicaCommand<S>) -> Result<(), ReplicaError> {
--- a/crates/replication/tests/losses.rs
+++ b/crates/replication/tests/losses.rs
@@ -48,3 +48,21 @@
         nodes[leader].replica.propose(1).await.unwrap();
     }
 }
+
+/// Guards against a planned stop that only queues the transfer: the process ends right after it, and the group is without
+/// a leader for an election timeout.
+#[tokio::test]
+async fn a_transfer_returns_once_leadership_is_handed_over() {
+    let directory = tempfile::tempdir().unwrap();
+    let repair = RepairPace::Within(REPAIR_WITHIN);
+    let nodes = start_replicas(directory.path(), 3, repair).await;
+    wait_until("all replicas are voters", || {
+        nodes.iter().all(|node| voters(node) == 3)
+    })
+    .await;
+
+    let before = &nodes[leader(&nodes).unwrap()].replica;
+    before.step_down().await;
+
+    assert_ne!(before.view().role, Role::Leader);
+}
