consensus: Play random series of allowed losses, cuts, freezes and crashes

Guards against combinations that the series of one kind of loss doesn't cover: several voters lost at once, cuts along two lines, losses during cuts, freezes, and crashes of all right after a loss, with slow disks and lost messages, in groups of 3 to 19. The schedule knows time only; the check is that clients get an entry and a read.

--- a/crates/consensus/tests/simulation/main.rs
+++ b/crates/consensus/tests/simulation/main.rs
@@ -6,6 +6,7 @@
 mod losses;
 mod machine;
 mod node;
+mod series;
 mod world;
 
 use std::ops::Range;
--- a/crates/consensus/tests/simulation/node.rs
+++ b/crates/consensus/tests/simulation/node.rs
@@ -24,6 +24,8 @@
     pub machine: Machine,
     pub pending: Option<Pending>,
     pub restart_at: u64,
+    /// Tick until which the process is suspended.
+    pub frozen_until: u64,
     /// Whether the replica receives only every fourth tick.
     pub slow_clock: bool,
     config: Config,
@@ -37,6 +39,7 @@
             machine: Machine::default(),
             pending: None,
             restart_at: 0,
+            frozen_until: 0,
             slow_clock: false,
             config,
         };
--- a/crates/consensus/tests/simulation/world.rs
+++ b/crates/consensus/tests/simulation/world.rs
@@ -168,6 +168,36 @@
         }
     }
 
+    /// Cuts all links between the members of `half` and the others.
+    pub fn cut_off(&mut self, half: &[ReplicaId]) {
+        let ids = self.ids();
+        let (inside, outside): (Vec<_>, Vec<_>) = ids.iter().partition(|id| half.contains(id));
+        self.cut_links.clear();
+        for (a, b) in inside
+            .iter()
+            .flat_map(|a| outside.iter().map(move |b| (*a, *b)))
+        {
+            self.cut_links.extend([(a, b), (b, a)]);
+        }
+    }
+
+    /// Restores all links.
+    pub fn heal(&mut self) {
+        self.cut_links.clear();
+    }
+
+    /// Suspends a process: its clock does not advance and its messages wait.
+    pub fn freeze(&mut self, id: ReplicaId, ticks: u64) {
+        if let Some(node) = self.nodes.get_mut(&id) {
+            node.frozen_until = self.now + ticks;
+        }
+    }
+
+    fn is_frozen(&self, id: ReplicaId) -> bool {
+        let node = self.nodes.get(&id);
+        node.is_some_and(|node| node.frozen_until > self.now)
+    }
+
     pub fn ids(&self) -> Vec<ReplicaId> {
         self.nodes.keys().copied().collect()
     }
@@ -268,7 +298,9 @@
 
     fn deliver(&mut self) {
         let now = self.now;
-        let due = |(at, _): &mut (u64, Message)| *at <= now;
+        let ids = self.ids();
+        let frozen: BTreeSet<_> = ids.into_iter().filter(|id| self.is_frozen(*id)).collect();
+        let due = |(at, message): &mut (u64, Message)| *at <= now && !frozen.contains(&message.to);
         let due: Vec<_> = self.network.extract_if(.., due).collect();
         for (_, message) in due {
             let node = self.nodes.get_mut(&message.to);
@@ -303,6 +335,9 @@
 
     fn step_node(&mut self, id: ReplicaId) {
         let now = self.now;
+        if self.is_frozen(id) {
+            return;
+        }
         let snapshot = self.chance(self.faults.take_snapshot);
         let slow_clock = self.chance(self.faults.slow_clock);
         let Some(node) = self.nodes.get_mut(&id) else {
@@ -408,6 +443,7 @@
         let replicas = self
             .nodes
             .values_mut()
+            .filter(|node| node.frozen_until <= self.now)
             .filter_map(|node| node.replica.as_mut());
         for replica in replicas.filter(|replica| replica.role() == Role::Leader) {
             let absent = |id: &&ReplicaId| replica.membership().role(**id).is_none();
@@ -421,6 +457,9 @@
 
     fn issue_client_operations(&mut self) {
         let id = self.any_id();
+        if self.is_frozen(id) {
+            return;
+        }
         match self.rng.random_range(0..10) {
             0..5 => self.submit(id),
             5..8 => self.read(id),
@@ -450,7 +489,7 @@
         }
     }
 
-    fn read(&mut self, from: ReplicaId) {
+    pub fn read(&mut self, from: ReplicaId) {
         let id = self.next_operation;
         self.next_operation += 1;
         let min_revision = self.checker.seen_revision;
