gateway: Add up announced slots without overflow

Two servers that announce slots each, beside another one, made the sum of the slots of their service overflow: a build with overflow checks panics there and the request hangs until its timeout (504); a build without them computes with a small number of slots. Sums now saturate.

The test entries_with_the_largest_numbers_end_the_gateways failed before with 504 instead of 200 at a gateway (development build).

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -290,7 +290,8 @@
         for (name, server) in accepting {
             let in_flight = server.fleet_in_flight(now);
             load.in_flight += in_flight;
-            load.slots += server.presence.slots;
+            // Servers announce any number of slots.
+            load.slots = load.slots.saturating_add(server.presence.slots);
             load.has_free_server |= in_flight < server.presence.slots && !exclude.contains(name);
         }
         load
