gateway: Bound the bytes of an answer that are no data of its body

A server that sent a chunk size of endless zeros kept a request until its deadline and one thread of the gateway busy: hyper accepts any number of leading zeros, so no limit ended the answer, and it parses all bytes that have arrived before another task runs. The limit of the bytes before the head now also applies between two parts of the body. Chunk extensions, trailers, heads and bodies without end had limits already.

The new case in answers_without_end_exhaust_memory_or_time_of_a_gateway failed before: these requests had no outcome after 10 s.

--- a/crates/gateway/src/backend_connection.rs
+++ b/crates/gateway/src/backend_connection.rs
@@ -193,14 +193,14 @@
                 return SendOutcome::Unknown(failure);
             }
         };
-        self.answers.head_limit.lift();
         let echo = IdEcho::of(response.headers(), id_header, id.as_ref());
         if echo == IdEcho::Other || echo == IdEcho::Absent && !self.answers.answered_ids.is_empty()
         {
             return SendOutcome::Unknown(SendFailure::AnswerCrossed);
         }
-        match read_answer(response).await {
+        match read_answer(response, &self.answers.head_limit).await {
             Some(answer) => {
+                self.answers.head_limit.lift();
                 let stays_open = self.update_keep_alive(&answer.headers);
                 let reusable = stays_open && echo == IdEcho::Own;
                 self.idle_since = Instant::now();
@@ -294,7 +294,13 @@
 }
 
 /// Reads the whole answer; `None` when it is truncated, too large, no final one, or encoded.
-async fn read_answer(response: Response<Incoming>) -> Option<BackendAnswer> {
+///
+/// `head_limit` also bounds the bytes between two parts of the body: hyper accepts any number of leading zeros in the size
+/// of a chunk, and parses all that have arrived before it lets another task run.
+async fn read_answer(
+    response: Response<Incoming>,
+    head_limit: &HeadLimit,
+) -> Option<BackendAnswer> {
     let (parts, mut body) = response.into_parts();
     // The gateway requests no content encoding, so an encoded body comes from an intermediary.
     if parts.headers.contains_key(CONTENT_ENCODING) {
@@ -309,7 +315,9 @@
     }
     let mut collected = BytesMut::new();
     let mut receiving = ReceivingBytes::default();
+    head_limit.apply();
     while let Some(frame) = body.frame().await {
+        head_limit.apply();
         let Ok(data) = frame.ok()?.into_data() else {
             continue;
         };
--- a/crates/gateway/tests/endless_answers.rs
+++ b/crates/gateway/tests/endless_answers.rs
@@ -15,7 +15,7 @@
 const MAX_WAIT: Duration = Duration::from_secs(10);
 
 /// Answers without end that are received at the same time.
-const ENDLESS_ANSWERS: usize = 28;
+const ENDLESS_ANSWERS: usize = 32;
 
 /// Memory of the smallest instance that the users run a gateway on.
 const INSTANCE_MEMORY_KB: u64 = 389 << 10;
@@ -65,7 +65,7 @@
 async fn answers_without_end_exhaust_memory_or_time_of_a_gateway() {
     let chunk = format!("1000\r\n{}\r\n", "x".repeat(0x1000));
     let chunk = chunk.leak().as_bytes();
-    let answers: [(&[u8], &[u8]); 7] = [
+    let answers: [(&[u8], &[u8]); 8] = [
         (
             b"HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\n",
             b"x",
@@ -82,6 +82,10 @@
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
             b"X-Sum: 7\r\n",
         ),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"0",
+        ),
         (b"HTTP/1.1 200 OK\r\nX-Endless: ", b"x"),
         (b"HTTP/1.1 200 OK\r\n", b"X-Endless: x\r\n"),
         (b"", b"x"),
