--- a/crates/e2e/src/matrix_reports.rs
+++ b/crates/e2e/src/matrix_reports.rs
@@ -133,6 +133,8 @@
             "crates/gateway/tests/endless_answers.rs::answers_without_end_exhaust_memory_or_time_of_a_gateway",
             "crates/gateway/tests/endless_answers.rs::interim_responses_without_end_hold_a_request_of_a_gateway",
             "crates/gateway/tests/backend_connection.rs::answers_without_end_do_not_exhaust_the_memory",
+            "platform/tests/endless_answers.rs::answers_without_end_take_the_requests_of_other_callers_down",
+            "platform/tests/endless_answers.rs::interim_responses_without_end_take_the_requests_of_other_callers_down",
         ],
         reason: "",
     },
@@ -210,6 +212,8 @@
         place: "listeners for callers, operators, announcements, lookups and peers; answers of servers",
         tests: &[
             "platform/tests/malformed_messages.rs::a_malformed_message_takes_a_process_down",
+            "platform/tests/odd_entries.rs::a_deeply_nested_entry_stops_the_list_of_servers",
+            "platform/tests/odd_entries.rs::entries_with_the_largest_numbers_end_the_gateways",
             "crates/wire/tests/peers.rs::malformed_frame_closes_its_connection_only",
             "crates/wire/tests/peers.rs::random_bytes_never_panic",
             "crates/gateway/tests/answer_framing.rs::answers_that_contradict_themselves_are_no_answers",
