platform: Read settings that change without a signal

A coordinator that starts with an empty disk learns its peers from its contacts alone, and the platform may replace the settings file without a signal.

Test: contacts_that_change_without_a_signal_are_never_asked fails without the change ('condition not met within 20s: the coordinator reads the configuration') and passes with it (4.5 s).

--- a/crates/kernel/src/process.rs
+++ b/crates/kernel/src/process.rs
@@ -8,6 +8,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::arguments::Arguments;
+use crate::file_watch::FileWatch;
 use crate::kernel::Kernel;
 use crate::logging;
 use crate::plugin::Program;
@@ -112,6 +113,14 @@
         }
     }
 
+    /// Waits for the next stop or reload signal, or for a change of the settings file, which requests a reload too.
+    pub async fn next_or_change(&mut self, settings_file: &mut FileWatch) -> ProcessSignal {
+        tokio::select! {
+            signal = self.next_of_any() => signal,
+            () = settings_file.changed() => ProcessSignal::Reload,
+        }
+    }
+
     /// Waits for the next stop signal.
     pub async fn next_stop(&mut self) {
         tokio::select! {
