replication: Let a removed voter ask to join when no leader reaches it

A replica with a full disk is silent. It loses its vote after about a second and is removed after remove_after. Its own log ends before that, so it still counts itself as a voter, and voters request to join only after a NotMember notice. The members send this notice to the removed replica's address, which they no longer know, so it goes to their contacts instead. Only a removed replica that is one of the contacts (at most three seeds) ever got it. Every other one asked for pre-votes for ever while its process ran, and each full disk in turn took one more member out of the group.

A voter that has known no leader for 1.5 s now sends join requests itself, as a learner does at once. The leader ignores the request of a member, so a voter that was not removed is unaffected, and nothing depends on who knows its address.

The new test with five replicas fills each disk for 2.5 s, 4 s apart, the leader's first, while a client proposes every 100 ms with a deadline of 900 ms. The trace showed four voters, repair complete, and the fifth as a pre-candidate of the same term with an open data directory, which still listed itself as a voter. All proposals after the recovery were acknowledged, because four of five members were left.

Ruled out by the same test: an acknowledged change that is lost (no two changes took the same place in the log), and a proposal that stays unanswered once all disks have had room for 3 s.

--- a/crates/replication/src/replica_task.rs
+++ b/crates/replication/src/replica_task.rs
@@ -36,6 +36,10 @@
 /// Timeout of the call that delivers one message to another replica.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time without a leader, in ticks, after which a voter requests to join: it may have been removed. An election is
+/// usually over before.
+const REMOVED_SUSPECTED_TICKS: u32 = 30;
+
 /// Reason why the replica task ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum TaskEnd {
@@ -62,6 +66,8 @@
     pub(crate) contacts: watch::Receiver<Vec<SocketAddr>>,
     pub(crate) voter_target: VoterTarget,
     pub(crate) ticks_until_join: u32,
+    /// Ticks since a leader was last known.
+    pub(crate) ticks_without_leader: u32,
     /// Join requests that the leader has not proposed yet, because only one change may be uncommitted.
     pub(crate) joining: VecDeque<JoinRequest>,
     /// Whether another member reported that this replica was removed from the group.
@@ -116,13 +122,17 @@
         }
         if self.replica.leader().is_some() {
             self.removed = false;
+            self.ticks_without_leader = 0;
             return;
         }
+        self.ticks_without_leader = self.ticks_without_leader.saturating_add(1);
         // A removed learner gets no notice of its removal, so every non-voter requests to join while no
         // leader is known. A removed voter still has the membership from before its removal, in which it
-        // is a voter.
+        // is a voter, and the notice reaches it only if the members have its address among their contacts.
+        // The request of a voter that was not removed is ignored.
         let is_voter = self.replica.membership().is_voter(self.replica.id());
-        if !is_voter || self.removed {
+        let may_be_removed = self.removed || self.ticks_without_leader >= REMOVED_SUSPECTED_TICKS;
+        if !is_voter || may_be_removed {
             self.request_join();
         }
     }
--- a/crates/replication/src/supervisor.rs
+++ b/crates/replication/src/supervisor.rs
@@ -162,6 +162,7 @@
                     contacts: contacts.clone(),
                     voter_target: self.settings.voter_target,
                     ticks_until_join: 0,
+                    ticks_without_leader: 0,
                     joining: VecDeque::new(),
                     removed: false,
                     view: &view,
