--- a/crates/replication/tests/full_disks.rs
+++ b/crates/replication/tests/full_disks.rs
@@ -15,7 +15,7 @@
 const REPLICAS: usize = 5;
 const REPAIR: RepairPace = RepairPace::Within(Duration::from_secs(4));
 const FULL_FOR: Duration = Duration::from_millis(2_500);
-const SPELL_PERIOD: Duration = Duration::from_secs(4);
+const ROOM_FOR: Duration = Duration::from_millis(1_500);
 const PROPOSAL_PERIOD: Duration = Duration::from_millis(100);
 const PROPOSAL_DEADLINE: Duration = Duration::from_millis(900);
 /// Time after the last disk has room again by which every proposal must be acknowledged.
@@ -60,7 +60,7 @@
 
     let client = tokio::spawn(async move {
         let mut proposals = JoinSet::new();
-        let last_spell = SPELL_PERIOD * u32::try_from(REPLICAS - 1).unwrap();
+        let last_spell = (FULL_FOR + ROOM_FOR) * u32::try_from(REPLICAS - 1).unwrap();
         let recovered_at = Instant::now() + last_spell + FULL_FOR + RECOVERED_WITHIN;
         let stop_at = recovered_at + Duration::from_secs(2);
         while Instant::now() < stop_at {
@@ -76,7 +76,7 @@
         full.store(true, Ordering::Relaxed);
         sleep(FULL_FOR).await;
         full.store(false, Ordering::Relaxed);
-        sleep(SPELL_PERIOD - FULL_FOR).await;
+        sleep(ROOM_FOR).await;
     }
     let answers = client.await.unwrap();
 
