--- a/crates/replication/tests/losses.rs
+++ b/crates/replication/tests/losses.rs
@@ -65,7 +65,8 @@
 async fn a_transfer_returns_once_leadership_is_handed_over() {
     let directory = tempfile::tempdir().unwrap();
     let repair = RepairPace::Within(REPAIR_WITHIN);
-    let nodes = start_replicas(directory.path(), 3, repair).await;
+    let disks = vec![Disk::default(); 3];
+    let nodes = start_replicas(directory.path(), &disks, repair).await;
     wait_until("all replicas are voters", || {
         nodes.iter().all(|node| voters(node) == 3)
     })
