coordinator: Keep the newest place of a server that retires again

The server had left before under the same id, and 4,095 others in between.

Cause: `CoordinatorState::retire` replaced the retirement of a known id but left the id at the place of its first departure, so the newest departure was evicted as the oldest. It is now moved to the end of the order.

Their states may differ in the order and so in which of more than 4,096 retirements are kept. That is harmless beyond the fault itself: no replica compares states, a missing entry only makes the next retirement of that id a change, and gateways treat the lists of both builds alike. Until all coordinators are new, a list of an old one may lack the newest departure, as before.

Not changed: 4,096 other departures after the last one still evict a retirement whose server may yet run.

--- a/crates/coordinator/src/state.rs
+++ b/crates/coordinator/src/state.rs
@@ -49,7 +49,7 @@
 pub struct CoordinatorState {
     config: Option<Arc<StoredConfig>>,
     retired: BTreeMap<Arc<str>, Retirement>,
-    /// Ids of the retired backend servers, oldest retirement first.
+    /// Ids of the retired backend servers, oldest retirement first. An id that retires again moves to the end.
     order: VecDeque<Arc<str>>,
 }
 
@@ -102,13 +102,11 @@
             return Outcome::Unchanged;
         }
         let id = Arc::clone(&retirement.id);
-        if self
-            .retired
-            .insert(Arc::clone(&id), retirement.clone())
-            .is_none()
-        {
-            self.order.push_back(id);
+        let previous = self.retired.insert(Arc::clone(&id), retirement.clone());
+        if previous.is_some() {
+            self.order.retain(|other| *other != id);
         }
+        self.order.push_back(id);
         while self.order.len() > MAX_RETIREMENTS {
             if let Some(oldest) = self.order.pop_front() {
                 self.retired.remove(&oldest);
