coordinator: Count crashes of a request after many copies crashed together

Seen: a request whose copies had crashed 16 backend servers at once was never refused, however many it crashed after that, and it expired ten minutes after the first 16 crashes.

Cause: `Suspects::record` ignored every crash after the sixteenth, also when the recorded ones counted as one. Beyond 16 the newest crash that does not count is now dropped, or the oldest one when all count, so the sequence and the time of the last crash go on. A dropped crash that is reported again is dropped again and changes no position.

Evidence: crashes_in_sequence_count_after_many_copies_crashed_together failed with Some(1) instead of Some(3), a_request_that_crashes_servers_for_long_stays_suspect with None instead of Some(16); both pass now. Messages are unchanged, and the tests on servers that end together are too.

--- a/crates/coordinator/src/suspects.rs
+++ b/crates/coordinator/src/suspects.rs
@@ -15,7 +15,8 @@
 /// Maximum number of suspect requests. The request whose last crash is the oldest is evicted first.
 const MAX_SUSPECTS: usize = 1_024;
 
-/// Maximum number of crashes recorded for one request; further crashes are ignored.
+/// Maximum number of crashes recorded for one request. Beyond it, crashes that do not count are dropped first, and
+/// then the oldest one, so that a request whose copies crash many servers together is still counted.
 const MAX_CRASHES_PER_REQUEST: usize = 16;
 
 /// Crash of one backend server while the request was in flight there, in local time.
@@ -35,14 +36,14 @@
 
 impl Suspects {
     /// Records a crash. Returns `false` for a crash of the same backend server process that another gateway has
-    /// already reported for this request, and when the request has reached its maximum number of crashes.
+    /// already reported for this request, and when the request has reached its maximum number of crashes and this one
+    /// does not count.
     pub fn record(&mut self, crash: &RequestCrash, now: Duration) -> bool {
         if !self.suspects.contains_key(&crash.request) {
             self.evict_oldest_if_full();
         }
         let crashes = self.suspects.entry(crash.request).or_default();
-        let is_duplicate = crashes.iter().any(|other| other.server == crash.server);
-        if is_duplicate || crashes.len() >= MAX_CRASHES_PER_REQUEST {
+        if crashes.iter().any(|other| other.server == crash.server) {
             return false;
         }
         let at = |ago_ms: u32| now.saturating_sub(Duration::from_millis(ago_ms.into()));
@@ -51,7 +52,13 @@
             sent_at: at(crash.sent_ms_ago),
             ended_at: at(crash.ended_ms_ago),
         });
-        crashes.sort_by_key(|crash| crash.ended_at);
+        crashes.sort_by_key(|crash| (crash.ended_at, crash.server));
+        if crashes.len() > MAX_CRASHES_PER_REQUEST {
+            let dropped = crashes.remove(least_relevant(crashes));
+            if dropped.server == crash.server {
+                return false;
+            }
+        }
         self.position += 1;
         true
     }
@@ -84,7 +91,7 @@
         suspects
             .map(|(request, crashes)| SuspectRequest {
                 request: *request,
-                crashes: longest_sequence(crashes),
+                crashes: u32::try_from(longest_sequence(crashes).len()).unwrap_or(u32::MAX),
             })
             .collect()
     }
@@ -128,16 +135,25 @@
         .map_or(Duration::ZERO, |crash| crash.ended_at)
 }
 
-/// Returns the length of the longest sequence of crashes in which the request was sent to each backend server after
+/// Returns the indices of the longest sequence of crashes in which the request was sent to each backend server after
 /// the previous one had crashed. `crashes` must be sorted by `ended_at`.
-fn longest_sequence(crashes: &[Crash]) -> u32 {
-    let mut count = 0;
+fn longest_sequence(crashes: &[Crash]) -> Vec<usize> {
+    let mut sequence = Vec::new();
     let mut last_end = None;
-    for crash in crashes {
+    for (index, crash) in crashes.iter().enumerate() {
         if last_end.is_none_or(|end| crash.sent_at >= end) {
-            count += 1;
+            sequence.push(index);
             last_end = Some(crash.ended_at);
         }
     }
-    count
+    sequence
+}
+
+/// Returns the index of the newest crash outside the longest sequence, or of the oldest crash if all belong to it.
+fn least_relevant(crashes: &[Crash]) -> usize {
+    let sequence = longest_sequence(crashes);
+    let mut newest_first = (0..crashes.len()).rev();
+    newest_first
+        .find(|index| !sequence.contains(index))
+        .unwrap_or(0)
 }
--- a/crates/coordinator/tests/suspects.rs
+++ b/crates/coordinator/tests/suspects.rs
@@ -118,3 +118,41 @@
     suspects.expire(Duration::from_mins(13));
     assert_eq!(suspects.list().len(), 0);
 }
+
+/// Guards against a request that is never refused because many copies crashed servers at once and further crashes
+/// were ignored.
+#[test]
+fn crashes_in_sequence_count_after_many_copies_crashed_together() {
+    let mut suspects = Suspects::default();
+    for server in 1..=20 {
+        suspects.record(&crash(server, 900, 800), NOW);
+    }
+    for (server, sent, ended) in [(21, 700, 600), (22, 700, 590), (23, 500, 400)] {
+        suspects.record(&crash(server, sent, ended), NOW);
+    }
+    let position = suspects.position();
+    let repeated = suspects.record(&crash(20, 900, 800), NOW);
+
+    assert_eq!(crashes(&suspects), Some(3));
+    assert!(!repeated);
+    assert_eq!(suspects.position(), position);
+    assert_eq!(suspects.crashes(NOW).len(), 16);
+}
+
+/// Guards against a quarantine that expires ten minutes after the first crashes although the request goes on to crash
+/// servers.
+#[test]
+fn a_request_that_crashes_servers_for_long_stays_suspect() {
+    let mut suspects = Suspects::default();
+    for number in 1..=40_u32 {
+        let now = NOW + Duration::from_mins(number.into());
+        suspects.record(&crash(number.into(), 300, 0), now);
+    }
+
+    suspects.expire(NOW + Duration::from_mins(49));
+    let before = crashes(&suspects);
+    suspects.expire(NOW + Duration::from_mins(51));
+
+    assert_eq!(before, Some(16));
+    assert_eq!(crashes(&suspects), None);
+}
