gateway: Leave the route out of the fingerprint of a request

Cause: the fingerprint held the name of the route, so the request was a new one for the quarantine. It now holds organisation, method, path with query, and body.

The new test in tests/crash_watch.rs doesn't compile with the old signature, which needs a route.

Old and new builds: a fingerprint is 16 opaque bytes for coordinators. While gateways of both builds run, they count the same request under two fingerprints, so it may crash up to twice as many servers until all are new. Requests that differ only in their host share a fingerprint now.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -188,8 +188,7 @@
     }
 
     fn fingerprint(&self) -> Fingerprint {
-        let headers = &self.shared.headers;
-        self.request.fingerprint(&self.rule.name, headers)
+        self.request.fingerprint(&self.shared.headers)
     }
 
     /// Starts a check whether the server crashed, after the connection was lost with the request in flight.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -106,15 +106,16 @@
         }
     }
 
-    /// Computes the fingerprint that identifies the request by its content.
+    /// Computes the fingerprint that identifies the request by its content. It does not contain route or service, because
+    /// a new configuration may split the route or move it before the request is sent again.
     #[must_use]
-    pub fn fingerprint(&self, route: &str, names: &Headers) -> Fingerprint {
+    pub fn fingerprint(&self, names: &Headers) -> Fingerprint {
         let organisation = self.parts.headers.get(&names.organisation);
         let organisation = organisation.and_then(|value| value.to_str().ok());
         let path = self.parts.uri.path_and_query();
         Fingerprint::of(
             organisation.unwrap_or_default(),
-            route,
+            "",
             self.parts.method.as_str(),
             path.map_or("", PathAndQuery::as_str),
             &self.body,
--- a/crates/gateway/tests/crash_watch.rs
+++ b/crates/gateway/tests/crash_watch.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use hyper::Request;
+use radishpaddle_gateway::HeaderNames;
 use radishpaddle_gateway::crash_watch::{CrashWatch, ObservedCrash};
+use radishpaddle_gateway::forward::{ForwardRequest, Headers};
 use radishpaddle_model::{Fingerprint, RequestCrash, SuspectRequest};
 
 const REQUEST: Fingerprint = Fingerprint([7; 16]);
@@ -81,3 +85,31 @@
     assert_eq!(answered, [REQUEST]);
     assert_eq!(watch.report(true, NOW).0, []);
 }
+
+fn fingerprint(organisation: &str, method: &str, path: &str, body: &'static str) -> Fingerprint {
+    let names = Headers::parse(&HeaderNames::default()).unwrap();
+    let request = Request::builder().method(method).uri(path);
+    let (parts, ()) = request.body(()).unwrap().into_parts();
+    ForwardRequest::new(parts, Bytes::from(body), Some(organisation), &names).fingerprint(&names)
+}
+
+/// Guards against a crashing request that is a new one for the quarantine after its route was split, and against a
+/// quarantine of other requests.
+#[test]
+fn a_fingerprint_holds_the_content_of_a_request_and_no_route() {
+    let request = fingerprint("acme", "POST", "/orders/1?x=2", "body");
+
+    assert_eq!(
+        fingerprint("acme", "POST", "/orders/1?x=2", "body"),
+        request
+    );
+    for other in [
+        fingerprint("other", "POST", "/orders/1?x=2", "body"),
+        fingerprint("acme", "PUT", "/orders/1?x=2", "body"),
+        fingerprint("acme", "POST", "/orders/2?x=2", "body"),
+        fingerprint("acme", "POST", "/orders/1?x=3", "body"),
+        fingerprint("acme", "POST", "/orders/1?x=2", "other"),
+    ] {
+        assert_ne!(other, request);
+    }
+}
--- a/crates/model/src/fingerprint.rs
+++ b/crates/model/src/fingerprint.rs
@@ -13,7 +13,8 @@
 
 impl Fingerprint {
     /// Computes the fingerprint of a request: the first 16 bytes of a SHA-256 hash, so that a caller cannot
-    /// construct two requests with one fingerprint. `scope` is the service or route that the path belongs to.
+    /// construct two requests with one fingerprint. `scope` separates requests with one path to different
+    /// services; it must not change with a new configuration while the same request is sent again.
     #[must_use]
     pub fn of(
         organisation: &str,
