gateway: Keep the host in the fingerprint of a request

Without the route, requests to two hosts that agree in organisation, method, path and body had one fingerprint: a quarantine of the one would have refused the other, which may go to another service. The host stays the same when a request comes again.

The case of another host in a_fingerprint_holds_the_content_of_a_request_and_no_route fails without it.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -6,7 +6,7 @@
 use anyhow::{Context as _, Result};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{AUTHORIZATION, HeaderName, HeaderValue};
+use hyper::header::{AUTHORIZATION, HOST, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Uri};
@@ -106,16 +106,18 @@
         }
     }
 
-    /// Computes the fingerprint that identifies the request by its content. It does not contain route or service, because
-    /// a new configuration may split the route or move it before the request is sent again.
+    /// Computes the fingerprint that identifies the request by its host and content. It does not contain route or service,
+    /// because a new configuration may split the route or move it before the request is sent again.
     #[must_use]
     pub fn fingerprint(&self, names: &Headers) -> Fingerprint {
         let organisation = self.parts.headers.get(&names.organisation);
         let organisation = organisation.and_then(|value| value.to_str().ok());
+        let host = self.parts.headers.get(HOST);
+        let host = host.and_then(|value| value.to_str().ok());
         let path = self.parts.uri.path_and_query();
         Fingerprint::of(
             organisation.unwrap_or_default(),
-            "",
+            &host.unwrap_or_default().to_ascii_lowercase(),
             self.parts.method.as_str(),
             path.map_or("", PathAndQuery::as_str),
             &self.body,
--- a/crates/gateway/tests/crash_watch.rs
+++ b/crates/gateway/tests/crash_watch.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use hyper::Request;
+use hyper::header::HOST;
 use radishpaddle_gateway::HeaderNames;
 use radishpaddle_gateway::crash_watch::{CrashWatch, ObservedCrash};
 use radishpaddle_gateway::forward::{ForwardRequest, Headers};
@@ -87,8 +88,19 @@
 }
 
 fn fingerprint(organisation: &str, method: &str, path: &str, body: &'static str) -> Fingerprint {
+    fingerprint_at("orders.example", organisation, method, path, body)
+}
+
+fn fingerprint_at(
+    host: &str,
+    organisation: &str,
+    method: &str,
+    path: &str,
+    body: &'static str,
+) -> Fingerprint {
     let names = Headers::parse(&HeaderNames::default()).unwrap();
     let request = Request::builder().method(method).uri(path);
+    let request = request.header(HOST, host);
     let (parts, ()) = request.body(()).unwrap().into_parts();
     ForwardRequest::new(parts, Bytes::from(body), Some(organisation), &names).fingerprint(&names)
 }
@@ -109,6 +121,7 @@
         fingerprint("acme", "POST", "/orders/2?x=2", "body"),
         fingerprint("acme", "POST", "/orders/1?x=3", "body"),
         fingerprint("acme", "POST", "/orders/1?x=2", "other"),
+        fingerprint_at("stock.example", "acme", "POST", "/orders/1?x=2", "body"),
     ] {
         assert_ne!(other, request);
     }
