--- a/review/stand_ins_2/fleet.rs
+++ b/review/stand_ins_2/fleet.rs
@@ -331,16 +331,22 @@
     std::process::exit(if broken { BROKEN } else { HELD })
 }
 
-/// Finds three parts of loopback addresses of which the ports are free.
+/// Finds three parts of loopback addresses of which the ports are free, and keeps them for this process.
 fn free_network() -> String {
-    let seed = u64::from(std::process::id()) ^ unix_ms();
+    let nanos = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_nanos() as u64);
+    let seed = nanos ^ u64::from(std::process::id()) << 32;
     for attempt in 0..200 {
         let mixed = (seed.wrapping_add(attempt)).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40;
         let network = format!("127.{}.{}", 20 + mixed % 200, (mixed >> 8) % 250);
+        // Cases that run at the same time do not share a network.
+        let Ok(claim) = TcpListener::bind(format!("{network}.250:8403")) else {
+            continue;
+        };
         let hosts = [1, 2, 3, 4, 5, 101, 102, 103, 104, 105];
         let ports = [8404, 8405, 8406, 8407, 7660, 9464];
         let is_free = |host: &i32| ports.iter().all(|port| TcpListener::bind(format!("{network}.{host}:{port}")).is_ok());
         if hosts.iter().all(is_free) {
+            std::mem::forget(claim);
             return network;
         }
     }
