--- a/review/stand_ins_2/fleet.rs
+++ b/review/stand_ins_2/fleet.rs
@@ -118,6 +118,8 @@
     folder: PathBuf,
     network: String,
     shape: Shape,
+    /// Control addresses in the settings of the processes that start from now on.
+    pub seeds: Vec<String>,
     pub coordinators: Vec<Process>,
     pub gateways: Vec<Process>,
 }
@@ -132,10 +134,12 @@
             record: record.clone(),
             folder,
             network,
+            seeds: Vec::new(),
             shape,
             coordinators: Vec::new(),
             gateways: Vec::new(),
         };
+        fleet.seeds = (1..=fleet.shape.coordinators.min(3)).map(|number| fleet.control(number)).collect();
         for number in 1..=fleet.shape.coordinators {
             let process = fleet.spawn_coordinator(number, true);
             fleet.coordinators.push(process);
@@ -182,9 +186,7 @@
     }
 
     fn settings(&self, name: &str, ip: &str, listen: &str, limits: &str, data: Option<&Path>, bootstrap: bool) -> String {
-        let seeds: Vec<String> = (1..=self.shape.coordinators.min(3))
-            .map(|number| format!("\"{}\"", self.control(number)))
-            .collect();
+        let seeds: Vec<String> = self.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let data = data.map_or("null".to_owned(), |path| format!("\"{}\"", path.display()));
         let is_core = data != "null";
         let (class, serves) = if is_core { ("core", r#"["control", "directory"]"#) } else { ("front", r#"["front"]"#) };
@@ -250,6 +252,37 @@
         self.coordinators[number as usize - 1] = self.spawn_coordinator(number, false);
     }
 
+    /// Starts a further coordinator with an empty disk. Its number is the next one.
+    pub fn add_coordinator(&mut self) -> u32 {
+        let number = self.coordinators.len() as u32 + 1;
+        let process = self.spawn_coordinator(number, false);
+        self.coordinators.push(process);
+        number
+    }
+
+    /// Number of the coordinator that leads the group according to the newest log line about it.
+    pub fn leader(&self) -> Option<u32> {
+        let log = fs::read_to_string(self.folder.join("core-1.log")).ok()?;
+        let line = log.lines().rev().find(|line| line.contains("\"event\":\"leadership\"") && !line.contains("\"leader\":null"))?;
+        let address = line.split("\"leader\":\"").nth(1)?.split('"').next()?;
+        (1..=self.coordinators.len() as u32).find(|number| *address == format!("{}:7660", self.core_ip(*number)))
+    }
+
+    /// Part of the log of a coordinator that names its group.
+    pub fn group_lines(&self, number: u32) -> Vec<String> {
+        let log = fs::read_to_string(self.folder.join(format!("core-{number}.log"))).unwrap_or_default();
+        log.lines().filter(|line| line.contains("\"event\":\"group\"")).map(str::to_owned).collect()
+    }
+
+    /// Address in the network of the deployment at which a proxy may listen.
+    pub fn proxy_ip(&self, number: u32) -> String {
+        format!("{}.{}", self.network, 50 + number)
+    }
+
+    pub fn peer_address(&self, number: u32) -> String {
+        format!("{}:7660", self.core_ip(number))
+    }
+
     /// Starts a gateway again after it has ended.
     pub fn restart_gateway(&mut self, number: u32) {
         self.gateways[number as usize - 1].kill();
@@ -342,7 +375,7 @@
         let Ok(claim) = TcpListener::bind(format!("{network}.250:8403")) else {
             continue;
         };
-        let hosts = [1, 2, 3, 4, 5, 101, 102, 103, 104, 105];
+        let hosts = [1, 2, 3, 4, 5, 51, 52, 53, 101, 102, 103, 104, 105];
         let ports = [8404, 8405, 8406, 8407, 7660, 9464];
         let is_free = |host: &i32| ports.iter().all(|port| TcpListener::bind(format!("{network}.{host}:{port}")).is_ok());
         if hosts.iter().all(is_free) {
