gateway, entry, kernel: Notice callers that leave with further requests sent

Cause: during a request hyper reads from the connection only while its read buffer is empty, and further requests fill it. Nothing else watched the connection. The existing test with a single request passes, so cancellation itself works.

CallerStream reports the end of a connection from the readiness of the socket, which includes a close or reset behind unread bytes; the connection is then dropped with its request in progress. Gateway and entry proxy use it.

The tests pipelined_requests_are_cancelled_when_their_caller_leaves failed before: at the gateway "condition not met within 20s: the connection is closed", at the entry proxy "the request is cancelled: not within 500ms".

--- a/crates/entry/src/caller_listener.rs
+++ b/crates/entry/src/caller_listener.rs
@@ -12,6 +12,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use radishpaddle_kernel::CallerStream;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::{Instant, sleep_until, timeout_at};
@@ -156,6 +157,7 @@
 
 async fn serve_connection(stream: TcpStream, context: &Arc<ConnectionContext>) {
     let _ = stream.set_nodelay(true);
+    let (stream, caller_close) = CallerStream::new(stream);
     let limits = &context.handler.settings.limits;
     let service = service_fn(|request| respond(request, Arc::clone(context)));
     let connection = http1::Builder::new()
@@ -164,11 +166,17 @@
         .max_buf_size(limits.header_bytes)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let serve = async {
+        tokio::select! {
+            _ = &mut connection => return,
+            () = context.closing.cancelled() => connection.as_mut().graceful_shutdown(),
+        }
+        let _ = connection.await;
+    };
     tokio::select! {
-        _ = &mut connection => return,
-        () = context.closing.cancelled() => connection.as_mut().graceful_shutdown(),
+        () = serve => (),
+        () = caller_close.wait() => (),
     }
-    let _ = connection.await;
 }
 
 async fn respond(
--- a/crates/gateway/src/caller_body.rs
+++ b/crates/gateway/src/caller_body.rs
@@ -9,9 +9,9 @@
 
 use bytes::{Buf, Bytes};
 use hyper::body::{Body, Frame, SizeHint};
+use radishpaddle_kernel::CallerStream;
 use radishpaddle_policy::{ByteBudget, HeldBytes, LinkPace};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep};
 
 /// Size from which a body is large.
@@ -132,7 +132,7 @@
 /// Connection of a caller, whose writes fail after the caller has not read for long. The answer is then shorter than its
 /// `Content-Length`, so it never looks complete.
 pub struct StallLimitedStream {
-    stream: TcpStream,
+    stream: CallerStream,
     budget: ByteBudget,
     stall: Option<Stall>,
 }
@@ -146,7 +146,7 @@
 impl StallLimitedStream {
     /// Wraps a connection; the budget states for how long a caller may not read.
     #[must_use]
-    pub const fn new(stream: TcpStream, budget: ByteBudget) -> Self {
+    pub const fn new(stream: CallerStream, budget: ByteBudget) -> Self {
         Self {
             stream,
             budget,
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod ambiguity;
 pub mod arguments;
 pub mod boot_clock;
+pub mod caller_stream;
 pub mod context;
 pub mod decision_log;
 pub mod file_watch;
@@ -26,6 +27,7 @@
 pub mod settings;
 
 pub use arguments::Arguments;
+pub use caller_stream::{CallerClose, CallerStream};
 pub use context::Context;
 pub use decision_log::{DecisionLog, LogSampling};
 pub use file_watch::FileWatch;
