wire: Leave a silent connection also when each call times out

Cause: the limit of 3 s without a frame began anew with each call that found no other one pending, and calls that had timed out were dropped before that check. A request to join times out after 1 s and is sent every 1.05 s, so the limit was never reached and the connection never replaced.

The limit now begins with the first call after the last received frame, and calls that have timed out count, since the peer owes a response to them too. All clients of the peer protocol use this code.

--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -23,7 +23,7 @@
 /// Limit for opening a connection, including the TLS handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Time without any frame from the peer, while calls are pending, after which the connection is
+/// Time without any frame from the peer, after a call to which it owes a response, after which the connection is
 /// closed; also the limit for writing one call. Without this limit, a network path that silently
 /// loses packets in one direction would block the calls until the TCP time-out of the kernel.
 const RECEIVE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -228,14 +228,13 @@
     let (mut sink, mut stream) = connection.split();
     let mut pending_calls = PendingCalls::new();
     let mut next_id = 1;
-    let mut last_frame_at = Instant::now();
+    // Calls that have timed out count as well: the peer has not responded to them either.
+    let mut silent_since: Option<Instant> = None;
     let mut next_call = Some(first);
     loop {
         if let Some(call) = next_call.take() {
             pending_calls.retain(|_, reply| !reply.is_closed());
-            if pending_calls.is_empty() {
-                last_frame_at = Instant::now();
-            }
+            silent_since.get_or_insert_with(Instant::now);
             pending_calls.insert(next_id, call.reply);
             let sending = sink.send(request_frame(next_id, call.request));
             let sent = timeout(RECEIVE_TIMEOUT, sending).await;
@@ -251,21 +250,27 @@
             },
             frame = stream.next() => match frame {
                 Some(Ok(frame)) => {
-                    last_frame_at = Instant::now();
                     forward_response(frame, &mut pending_calls);
+                    silent_since = (!pending_calls.is_empty()).then(Instant::now);
                 }
                 Some(Err(error)) => return fail_pending(pending_calls, &error),
                 None => return fail_pending(pending_calls, &WireError::Stopped),
             },
-            () = tokio::time::sleep_until(last_frame_at + RECEIVE_TIMEOUT),
-                if !pending_calls.is_empty() =>
-            {
+            () = sleep_until_timeout(silent_since) => {
                 return fail_pending(pending_calls, &WireError::Timeout);
             }
         }
     }
 }
 
+/// Waits until the peer has sent no frame for too long; without end if it owes no response.
+async fn sleep_until_timeout(silent_since: Option<Instant>) {
+    match silent_since {
+        Some(since) => tokio::time::sleep_until(since + RECEIVE_TIMEOUT).await,
+        None => std::future::pending().await,
+    }
+}
+
 const fn request_frame(id: u64, request: Request) -> Frame {
     Frame {
         id,
--- a/crates/wire/tests/peers.rs
+++ b/crates/wire/tests/peers.rs
@@ -201,6 +201,61 @@
     calling.abort();
 }
 
+/// Guards against a client that stays on a silent connection for good because each new call restarts the time without a
+/// frame: calls that time out before the next one begins leave no call pending in between.
+#[tokio::test]
+async fn short_calls_leave_a_silent_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = client(listener.local_addr().unwrap(), "test", PeerSecurity::Plain);
+    let calls = async {
+        loop {
+            let call = request::Kind::Poll(vec![1]);
+            let _ = client.call(call, Duration::from_millis(100)).await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let connections = async {
+        let _silent = listener.accept().await.unwrap();
+        listener.accept().await.unwrap();
+    };
+
+    let reconnected = tokio::select! {
+        () = calls => unreachable!("the calls have no end"),
+        reconnected = tokio::time::timeout(MAX_HANG, connections) => reconnected,
+    };
+
+    assert!(reconnected.is_ok(), "no new connection");
+}
+
+/// Guards against a connection that is closed before the response of a slow peer arrives, or for a pause between calls.
+#[tokio::test(start_paused = true)]
+async fn slow_responses_after_pauses_arrive() {
+    struct Slow;
+    impl PeerHandler for Slow {
+        async fn handle(&self, _: PeerIdentity, _: request::Kind) -> response::Kind {
+            tokio::time::sleep(Duration::from_secs(2)).await;
+            response::Kind::Empty(Empty {})
+        }
+    }
+    let identity = ServerIdentity {
+        hello: hello("test"),
+        security: PeerSecurity::Plain,
+    };
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = PeerServer::bind(address, identity, Arc::new(Slow))
+        .await
+        .unwrap();
+    let client = client(server.address(), "test", PeerSecurity::Plain);
+
+    let mut results = Vec::new();
+    for _ in 0..4 {
+        results.push(echo(&client).await);
+        tokio::time::sleep(Duration::from_secs(10)).await;
+    }
+
+    assert!(results.iter().all(Result::is_ok), "{results:?}");
+}
+
 /// Guards against connections of peers that lost power, which stay open for good until the server accepts no others.
 #[tokio::test(start_paused = true)]
 async fn a_silent_peer_keeps_its_connection_forever() {
