model, gateway, platform: Ask for keys also when no organisation is left

Cause: an absent list of organisations, which means that no key is needed, and an empty one were decoded to the same value, and an empty list was read as permission; the check of freshness was skipped as well. The gateways log the version as applied, so it was in force.

The details of a configuration now tell whether the operator named organisations; RoutingTable::key_requirement decides from them. A gateway that has a configuration without organisations but not its details refuses requests as not run. Details of coordinators that predate them are the default ones, as before.

--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -168,7 +168,7 @@
             return Ok(Outcome::Unchanged);
         }
         let stored = StoredConfig {
-            details: config.details.clone(),
+            details: config.details.clone().unwrap_or_default(),
             config,
             document,
         };
--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -208,7 +208,7 @@
             return;
         }
         let now = boot_clock::now();
-        let warmups = &table.config().details.warmups;
+        let warmups = table.config().warmups();
         let mut pools = self.pools();
         pools.set_warmups(warmups, &self.settings.warmup, now);
         let gateways: Vec<Arc<str>> = reply.roster.iter().map(|name| (&**name).into()).collect();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,9 +6,7 @@
 
 use anyhow::Result;
 use radishpaddle_kernel::{DecisionLog, LogSampling, PlannedStop, boot_clock};
-use radishpaddle_model::{
-    ConfigDetails, OrganisationDemand, RoutingConfig, RoutingTable, ServerIncarnation,
-};
+use radishpaddle_model::{OrganisationDemand, RoutingConfig, RoutingTable, ServerIncarnation};
 use radishpaddle_policy::placement::PlacedWork;
 use radishpaddle_policy::reachability::{Reachability, ReachabilityChange};
 use radishpaddle_policy::{ByteBudget, Urgency};
@@ -31,6 +29,7 @@
 use crate::poll_task;
 use crate::pool::Pools;
 use crate::quota::{FleetDemand, Limit, OverLimit, Quota};
+use crate::received_details::ReceivedDetails;
 use crate::server::AttemptResult;
 use crate::service_times::ServiceTimes;
 use crate::settings::{GatewaySettings, LoadManagement};
@@ -65,8 +64,6 @@
     /// Caller addresses of gateways that reach backend servers, while this one does not.
     relays: Mutex<Vec<SocketAddr>>,
     table: Mutex<Arc<RoutingTable>>,
-    /// Version of the configuration whose details are known.
-    details_version: Mutex<u64>,
     pools: Mutex<Pools>,
     quota: Mutex<Quota>,
     crash_watch: Mutex<CrashWatch>,
@@ -112,7 +109,6 @@
             relays: Mutex::default(),
             contacts: Mutex::new(settings.contacts.clone()),
             table: Mutex::default(),
-            details_version: Mutex::default(),
             pools: Mutex::new(Pools::new(Arc::clone(&settings.zone), retry_budget)),
             quota: Mutex::new(Quota::new(settings.quota.clone(), SmallRng::from_os_rng())),
             crash_watch: Mutex::default(),
@@ -258,10 +254,13 @@
             }
         }
         let version = reply.config_version;
+        let details = ReceivedDetails::of(extension, reply.config_version);
         if let Some(config) = reply.config {
-            self.set_config(&config);
+            self.set_config(&config, details.as_ref());
+        }
+        if let Some(details) = details {
+            self.set_config_details(details);
         }
-        self.set_config_details(extension);
         self.apply_warmups(extension, version, reply.proof_age_ms, sent_at);
         // The proof covers the configuration of the coordinator, so it is valid here only once this gateway uses at
         // least that version.
@@ -278,38 +277,24 @@
 
     /// Version of the configuration in use if its details are known, else 0.
     pub(crate) fn details_version(&self) -> u64 {
-        let known = *lock(&self.details_version);
-        if known == self.table().config().version {
-            known
-        } else {
-            0
-        }
+        let table = self.table();
+        let config = table.config();
+        config.details.as_ref().map_or(0, |_| config.version)
     }
 
-    /// Adds the details of the configuration in use, if the reply of a coordinator has them.
-    fn set_config_details(&self, extension: &PollReplyExtension) {
+    /// Adds details of the configuration in use that arrive after it.
+    fn set_config_details(&self, received: ReceivedDetails) {
         let mut table = lock(&self.table);
-        let version = table.config().version;
-        if extension.details_version != version || extension.config_details.is_empty() {
+        if table.config().details.is_some() || received.version != table.config().version {
             return;
         }
-        let details: ConfigDetails = match serde_json::from_slice(&extension.config_details) {
-            Ok(details) => details,
-            Err(error) => {
-                log::warn!("gateway: details of configuration {version} are malformed: {error}");
-                return;
-            }
-        };
-        *lock(&self.details_version) = version;
-        if table.config().details != details {
-            let mut config = table.config().clone();
-            config.details = details;
-            *table = Arc::new(RoutingTable::new(config));
-        }
+        let mut config = table.config().clone();
+        config.details = Some(received.details);
+        *table = Arc::new(RoutingTable::new(config));
     }
 
-    /// Puts a configuration in use unless the present one is at least as new.
-    fn set_config(&self, config: &RoutingConfig) {
+    /// Puts a configuration in use unless the present one is at least as new, with its details if they are at hand.
+    fn set_config(&self, config: &RoutingConfig, details: Option<&ReceivedDetails>) {
         let mut table = lock(&self.table);
         if table.config().version >= config.version {
             return;
@@ -327,7 +312,10 @@
         let limits =
             limited.map(|organisation| (Arc::clone(&organisation.name), Limit::from(organisation)));
         lock(&self.quota).set_limits(limits, boot_clock::now());
-        *table = Arc::new(RoutingTable::new(config.clone()));
+        let details = details.filter(|received| received.version == config.version);
+        let mut config = config.clone();
+        config.details = details.map(|received| received.details.clone());
+        *table = Arc::new(RoutingTable::new(config));
     }
 
     pub(crate) fn contacts(&self) -> Vec<SocketAddr> {
@@ -439,7 +427,7 @@
     #[must_use]
     pub fn manages_load(&self) -> bool {
         match self.settings.load_management {
-            LoadManagement::Auto => !self.table().config().details.bulk_routes.is_empty(),
+            LoadManagement::Auto => self.table().config().has_bulk_routes(),
             LoadManagement::On => true,
             LoadManagement::Off => false,
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod poll_task;
 pub mod pool;
 mod pool_sampling;
+mod received_details;
 pub mod relay;
 pub mod request;
 pub mod response;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -12,7 +12,9 @@
 use hyper::http::request::Parts;
 use radishpaddle_kernel::LogSampling;
 use radishpaddle_kernel::ambiguity::is_ambiguous;
-use radishpaddle_model::{KeyHash, Organisation, RoutePart, RoutingRule, RoutingTable};
+use radishpaddle_model::{
+    KeyHash, KeyRequirement, Organisation, RoutePart, RoutingRule, RoutingTable,
+};
 use radishpaddle_policy::admission::RejectReason;
 use radishpaddle_policy::{ByteBudget, ByteUse, HeldBytes, Urgency};
 use serde_json::json;
@@ -308,11 +310,15 @@
         None if is_fresh => return Err((Refusal::NoRoute, None)),
         None => return Err((Refusal::NotFresh, Some(RETRY_AFTER))),
     };
-    if !table.needs_keys() {
-        return Ok(Resolved {
-            rule: Arc::clone(rule),
-            organisation: None,
-        });
+    match table.key_requirement() {
+        KeyRequirement::Required => (),
+        KeyRequirement::Unknown => return Err((Refusal::NotFresh, Some(RETRY_AFTER))),
+        KeyRequirement::NotRequired => {
+            return Ok(Resolved {
+                rule: Arc::clone(rule),
+                organisation: None,
+            });
+        }
     }
     let organisation =
         bearer_key(&parts.headers).and_then(|key| table.organisation(&KeyHash::of(key)).cloned());
--- a/crates/model/src/config_details.rs
+++ b/crates/model/src/config_details.rs
@@ -17,6 +17,9 @@
     pub bulk_routes: Vec<Arc<str>>,
     /// Warm-up of the services whose backend servers tolerate only a low rate while they are cold.
     pub warmups: Vec<ServiceWarmup>,
+    /// Whether the operator named the organisations that may call, possibly none. Details of builds that did not tell are
+    /// read as `false`.
+    pub names_organisations: bool,
 }
 
 /// Warm-up of the backend servers of one service.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -32,7 +32,7 @@
 };
 pub use result_code::{Outcome, Refusal, ResultCode};
 pub use routing::{
-    CallerLimits, HostRoutes, Organisation, RoutePart, RoutedService, RoutingConfig, RoutingError,
-    RoutingRule, RoutingTable,
+    CallerLimits, HostRoutes, KeyRequirement, Organisation, RoutePart, RoutedService,
+    RoutingConfig, RoutingError, RoutingRule, RoutingTable,
 };
 pub use unit::{ByteSize, Percent, RatePerSecond};
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::config_details::ConfigDetails;
+use crate::config_details::{ConfigDetails, ServiceWarmup};
 use crate::key::KeyHash;
 
 /// Exclusive limit, in milliseconds, by which the target latency of a route may exceed its timeout. A larger
@@ -23,15 +23,15 @@
     pub version: u64,
     /// Size and time limits for the requests of callers.
     pub limits: CallerLimits,
-    /// Organisations that may call; if empty, requests need no key.
+    /// Organisations that may call; [`RoutingTable::key_requirement`] tells what an empty list means.
     pub organisations: Vec<Organisation>,
     /// Routes, grouped by host.
     pub hosts: Vec<HostRoutes>,
     /// Services to which the routes may send requests.
     pub services: Vec<RoutedService>,
-    /// Details that are stored and sent beside the configuration.
+    /// Details that are stored and sent beside the configuration; `None` while they are not known.
     #[serde(skip)]
-    pub details: ConfigDetails,
+    pub details: Option<ConfigDetails>,
 }
 
 /// Size and time limits for the requests of callers.
@@ -169,6 +169,21 @@
         Duration::from_millis(longest_ms.unwrap_or_default())
     }
 
+    /// Whether any route declares large requests or large answers.
+    #[must_use]
+    pub fn has_bulk_routes(&self) -> bool {
+        let details = self.details.as_ref();
+        details.is_some_and(|details| !details.bulk_routes.is_empty())
+    }
+
+    /// Warm-ups of the services whose backend servers tolerate only a low rate while they are cold.
+    #[must_use]
+    pub fn warmups(&self) -> &[ServiceWarmup] {
+        self.details
+            .as_ref()
+            .map_or(&[], |details| &details.warmups)
+    }
+
     /// Checks that the configuration is consistent and can be put in force.
     ///
     /// # Errors
@@ -226,6 +241,17 @@
     }
 }
 
+/// Whether requests to routes that are not open need a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KeyRequirement {
+    /// Only the keys of the organisations are valid.
+    Required,
+    /// The configuration says nothing about organisations.
+    NotRequired,
+    /// The configuration has no organisations, and its details, which would tell why, are not known.
+    Unknown,
+}
+
 /// Index over a routing configuration for lookups by host, path and key.
 #[derive(Debug, Default)]
 pub struct RoutingTable {
@@ -281,7 +307,14 @@
 
     /// Returns whether requests to routes that are not open need a key.
     #[must_use]
-    pub fn needs_keys(&self) -> bool {
-        !self.config.organisations.is_empty()
+    pub fn key_requirement(&self) -> KeyRequirement {
+        if !self.config.organisations.is_empty() {
+            return KeyRequirement::Required;
+        }
+        match &self.config.details {
+            Some(details) if details.names_organisations => KeyRequirement::Required,
+            Some(_) => KeyRequirement::NotRequired,
+            None => KeyRequirement::Unknown,
+        }
     }
 }
