gateway, policy: Count a crash also when the server is known to have started again

Cause: one connection attempt at one moment stood for the question whether the process has ended. It shows nothing if a listener closes late, if a successor listens at once, if another process has the port, or if the host doesn't answer.

A lost request now waits for evidence for 10 s, as at the entry proxy, whose list is shared (LostRequests). A later start under the same name or at the same address counts, unless the server has left.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,7 +18,7 @@
 use crate::backend_connection::{
     BackendAnswer, BackendConnection, ConnectFailure, Reception, SendFailure, SendOutcome,
 };
-use crate::crash_watch::ObservedCrash;
+use crate::crash_watch::{LostRequest, ObservedCrash};
 use crate::forward::ForwardRequest;
 use crate::gateway::Shared;
 use crate::left_out::LeftOut;
@@ -243,16 +243,19 @@
     /// Starts a check whether the server crashed, after the connection was lost with the request in flight.
     fn check_crash(&self, chosen: &ChosenServer, started_at: Instant) {
         let shared = Arc::clone(&self.shared);
-        let server = (chosen.server.clone(), chosen.address);
-        let request_id = self.request.id(&self.shared.headers).map(str::to_owned);
         let now = boot_clock::now();
-        let crash = ObservedCrash {
-            request: self.fingerprint(),
-            server_incarnation: chosen.incarnation_key,
-            sent_at: now.saturating_sub(started_at.elapsed()),
-            ended_at: now,
+        let lost = LostRequest {
+            server: chosen.server.clone(),
+            address: chosen.address,
+            request_id: self.request.id(&self.shared.headers).map(Into::into),
+            crash: ObservedCrash {
+                request: self.fingerprint(),
+                server_incarnation: chosen.incarnation_key,
+                sent_at: now.saturating_sub(started_at.elapsed()),
+                ended_at: now,
+            },
         };
-        tokio::spawn(async move { shared.check_crash(server, request_id, crash).await });
+        tokio::spawn(async move { shared.check_crash(lost).await });
     }
 
     /// Makes an attempt. If the answer of an idempotent request is late and a hedge is permitted, sends a second copy to
--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -1,13 +1,12 @@
 //! Checks whether a backend server crashed with a request in flight, and the quarantine of such requests.
 
-use std::net::SocketAddr;
-
 use radishpaddle_kernel::{LogSampling, boot_clock};
-use radishpaddle_model::{Fingerprint, RequestCrash, ServerIncarnation, SuspectRequest};
+use radishpaddle_model::{Fingerprint, RequestCrash, SuspectRequest};
+use radishpaddle_wire::ServerUpdate;
 use serde_json::json;
 
 use crate::backend_connection::{BackendConnection, CONNECT_TIMEOUT, ConnectFailure};
-use crate::crash_watch::{CRASH_CHECK_DELAY, ObservedCrash};
+use crate::crash_watch::{CRASH_CHECK_DELAY, LostRequest};
 use crate::gateway::Shared;
 
 impl Shared {
@@ -28,13 +27,11 @@
 
     /// Checks whether a server that closed a connection with a request in flight still accepts connections. If it refuses
     /// them, the request counts as in flight at a crash. A server that only resets connections for a while accepts new
-    /// ones, and with an interrupted network path there is no answer. The end of a server that is leaving is no crash.
-    pub(crate) async fn check_crash(
-        &self,
-        (server, address): (ServerIncarnation, SocketAddr),
-        request_id: Option<String>,
-        crash: ObservedCrash,
-    ) {
+    /// ones, and with an interrupted network path there is no answer. Then only a later start of the server would show
+    /// that it crashed, see [`Self::record_starts`]. The end of a server that is leaving is no crash.
+    pub(crate) async fn check_crash(&self, lost: LostRequest) {
+        let (server, address) = (lost.server.clone(), lost.address);
+        self.crash_watch().record_lost(lost, boot_clock::now());
         tokio::time::sleep(CRASH_CHECK_DELAY).await;
         if self.is_leaving(&server) {
             return;
@@ -42,17 +39,37 @@
         match BackendConnection::open(address, CONNECT_TIMEOUT).await {
             Ok(connection) => {
                 self.record_connected();
-                return self.store_idle(&server, connection);
+                self.store_idle(&server, connection);
+            }
+            Err(ConnectFailure::Unreachable) => self.record_connect_failure(&server.name),
+            Err(ConnectFailure::Refused) => {
+                self.record_connect_failure(&server.name);
+                let crashed = self.crash_watch().take_refused(&server, boot_clock::now());
+                self.record_crashes(crashed, "refused");
+            }
+        }
+    }
+
+    /// Counts the requests that were in flight at servers which have ended according to these announcements. Must be called
+    /// before the announcements replace what is known of those servers.
+    pub(crate) fn record_starts(&self, starts: &[ServerUpdate]) {
+        let ended = self.crash_watch().take_ended(starts, boot_clock::now());
+        self.record_crashes(ended, "started_again");
+    }
+
+    /// Records crashes of the servers of lost requests, except of servers that were leaving.
+    fn record_crashes(&self, lost: Vec<LostRequest>, evidence: &'static str) {
+        for lost in lost {
+            if self.pools().has_left(&lost.server, boot_clock::now()) {
+                continue;
             }
-            Err(ConnectFailure::Unreachable) => return self.record_connect_failure(&server.name),
-            Err(ConnectFailure::Refused) => self.record_connect_failure(&server.name),
+            self.log.record("request_crash", LogSampling::Each, || {
+                json!({"request_id": lost.request_id, "backend_server": lost.server.name,
+                       "fingerprint": lost.crash.request.to_string(), "evidence": evidence})
+            });
+            self.crash_watch().record_crash(lost.crash);
+            self.report_now.notify_one();
         }
-        self.log.record("request_crash", LogSampling::Each, || {
-            json!({"request_id": request_id, "backend_server": server.name,
-                   "fingerprint": crash.request.to_string()})
-        });
-        self.crash_watch().record_crash(crash);
-        self.report_now.notify_one();
     }
 
     /// Returns the crashes and answered suspects that are due for a coordinator, see `CrashWatch::report`.
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -2,9 +2,15 @@
 //! requests that the coordinators collected from all gateways.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use radishpaddle_model::{Fingerprint, RequestCrash, SuspectRequest};
+use radishpaddle_model::{
+    Fingerprint, RequestCrash, ServerIncarnation, ServerPresence, SuspectRequest,
+};
+use radishpaddle_policy::LostRequests;
+use radishpaddle_wire::ServerUpdate;
 
 /// Number of crashes with a request in flight from which the request is refused.
 const QUARANTINE_CRASHES: u32 = 3;
@@ -28,6 +34,27 @@
     pub ended_at: Duration,
 }
 
+/// Request whose connection was lost before its answer was complete, perhaps by a crash of the backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LostRequest {
+    /// Backend server that the request was sent to.
+    pub server: ServerIncarnation,
+    /// Address of the backend server.
+    pub address: SocketAddr,
+    /// Id of the request, for logs.
+    pub request_id: Option<Arc<str>>,
+    /// What counts if the backend server has crashed.
+    pub crash: ObservedCrash,
+}
+
+impl LostRequest {
+    /// Whether an announcement shows that the backend server has ended: it started again, or a later start has its address.
+    fn has_ended_before(&self, start: &ServerPresence) -> bool {
+        let is_successor = start.id == self.server.name || start.address == self.address;
+        is_successor && start.started_at_ms > self.server.started_at_ms
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct OwnCrash {
     observed: ObservedCrash,
@@ -39,6 +66,8 @@
 #[derive(Debug, Default)]
 pub struct CrashWatch {
     own: Vec<OwnCrash>,
+    /// Lost requests whose cause is not known.
+    lost: LostRequests<LostRequest>,
     /// Suspect requests that a backend server answered, until a coordinator acknowledges them.
     answered: Vec<Fingerprint>,
     /// Number of crashes of each suspect request.
@@ -59,6 +88,24 @@
         crashes.is_some_and(|crashes| *crashes >= QUARANTINE_CRASHES)
     }
 
+    /// Records a request whose connection was lost.
+    pub fn record_lost(&mut self, lost: LostRequest, now: Duration) {
+        self.lost.record(lost, now);
+    }
+
+    /// Returns the requests that were in flight at a backend server which refuses connections.
+    pub fn take_refused(&mut self, server: &ServerIncarnation, now: Duration) -> Vec<LostRequest> {
+        self.lost.take(now, |lost| lost.server == *server)
+    }
+
+    /// Returns the requests that were in flight at backend servers which have ended according to announcements.
+    pub fn take_ended(&mut self, starts: &[ServerUpdate], now: Duration) -> Vec<LostRequest> {
+        self.lost.take(now, |lost| {
+            let mut starts = starts.iter().map(|update| &update.presence);
+            starts.any(|start| lost.has_ended_before(start))
+        })
+    }
+
     /// Records a crash that this gateway observed, once per request and run of the server.
     pub fn record_crash(&mut self, observed: ObservedCrash) {
         let key = (observed.request, observed.server_incarnation);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -211,6 +211,11 @@
         sent_at: Duration,
     ) {
         let now = boot_clock::now();
+        // Retirements and starts first: they tell what the servers that are known so far have done.
+        if let Some(retired) = reply.retired {
+            lock(&self.pools).retire(retired, reply.applied_index);
+        }
+        self.record_starts(&reply.servers);
         {
             let mut pools = lock(&self.pools);
             pools.set_gateways(reply.gateways);
@@ -228,9 +233,6 @@
             for id in &reply.removed {
                 pools.remove(id);
             }
-            if let Some(retired) = reply.retired {
-                pools.retire(retired, reply.applied_index);
-            }
             for (gateway, evidence) in reply.evidence {
                 pools.record_evidence(gateway, evidence, now);
             }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -492,6 +492,15 @@
             .refusal(&server.name, server.started_at_ms, now)
     }
 
+    /// Whether a server has said that it is leaving, or its drain or departure was acknowledged.
+    #[must_use]
+    pub(crate) fn has_left(&self, server: &ServerIncarnation, now: Duration) -> bool {
+        self.no_new_requests(server, now) == Some(NoNewRequests::Leaving)
+            || self
+                .retirements
+                .cover_start(&server.name, server.started_at_ms)
+    }
+
     /// Number of servers that are paused.
     #[must_use]
     pub fn paused_servers(&self, now: Duration) -> usize {
--- a/crates/gateway/src/retirements.rs
+++ b/crates/gateway/src/retirements.rs
@@ -33,7 +33,12 @@
 
     /// Whether the announced incarnation of a backend server is retired.
     pub(crate) fn cover(&self, presence: &ServerPresence) -> bool {
-        let retired = self.by_name.get(&presence.id);
-        retired.is_some_and(|retired| retired.started_at_ms >= presence.started_at_ms)
+        self.cover_start(&presence.id, presence.started_at_ms)
+    }
+
+    /// Whether this start of a backend server is retired.
+    pub(crate) fn cover_start(&self, id: &str, started_at_ms: u64) -> bool {
+        let retired = self.by_name.get(id);
+        retired.is_some_and(|retired| retired.started_at_ms >= started_at_ms)
     }
 }
--- a/crates/gateway/tests/crash_watch.rs
+++ b/crates/gateway/tests/crash_watch.rs
@@ -1,14 +1,19 @@
 //! Quarantine of requests that crash backend servers at one gateway.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::Request;
 use hyper::header::HOST;
 use radishpaddle_gateway::HeaderNames;
-use radishpaddle_gateway::crash_watch::{CrashWatch, ObservedCrash};
+use radishpaddle_gateway::crash_watch::{CrashWatch, LostRequest, ObservedCrash};
 use radishpaddle_gateway::forward::{ForwardRequest, Headers};
-use radishpaddle_model::{Fingerprint, RequestCrash, SuspectRequest};
+use radishpaddle_model::{
+    BackendState, Fingerprint, RequestCrash, ServerIncarnation, ServerPresence, SuspectRequest,
+};
+use radishpaddle_policy::lost_requests::CRASH_WINDOW;
+use radishpaddle_wire::ServerUpdate;
 
 const REQUEST: Fingerprint = Fingerprint([7; 16]);
 const NOW: Duration = Duration::from_secs(100);
@@ -87,6 +92,79 @@
     assert_eq!(watch.report(true, NOW).0, []);
 }
 
+fn lost() -> LostRequest {
+    LostRequest {
+        server: ServerIncarnation {
+            name: "i-1".into(),
+            started_at_ms: 1_000,
+        },
+        address: SocketAddr::from(([127, 0, 0, 1], 8080)),
+        request_id: None,
+        crash: OBSERVED,
+    }
+}
+
+fn start(id: &str, port: u16, started_at_ms: u64) -> ServerUpdate {
+    ServerUpdate {
+        presence: ServerPresence {
+            id: id.into(),
+            service: "orders".into(),
+            address: SocketAddr::from(([127, 0, 0, 1], port)),
+            zone: "a".into(),
+            slots: 4,
+            state: BackendState::Serving,
+            started_at_ms,
+            sequence: 1,
+            warmup_left_ms: 0,
+        },
+        silent: false,
+    }
+}
+
+/// Guards against a crash that does not count because the successor of the server accepts connections at once, and against
+/// a living server that counts as crashed.
+#[test]
+fn a_later_start_shows_that_a_server_has_ended() {
+    let cases = [
+        ("another server", start("i-2", 8081, 2_000), 0),
+        ("the same start", start("i-1", 8080, 1_000), 0),
+        (
+            "an earlier start at the address",
+            start("i-0", 8080, 900),
+            0,
+        ),
+        ("a later start of the server", start("i-1", 8081, 1_001), 1),
+        ("a later start at the address", start("i-2", 8080, 1_001), 1),
+    ];
+    for (name, update, expected) in cases {
+        let mut watch = CrashWatch::default();
+        watch.record_lost(lost(), NOW);
+
+        let ended = watch.take_ended(std::slice::from_ref(&update), NOW);
+
+        assert_eq!(ended.len(), expected, "{name}");
+        assert_eq!(
+            watch.take_refused(&lost().server, NOW).len(),
+            1 - expected,
+            "{name}"
+        );
+    }
+}
+
+/// Guards against a loss that is attributed to a restart long after it, and against one that counts twice.
+#[test]
+fn a_lost_request_counts_once_and_for_a_limited_time() {
+    let mut watch = CrashWatch::default();
+    watch.record_lost(lost(), NOW);
+    assert_eq!(watch.take_refused(&lost().server, NOW), [lost()]);
+    assert_eq!(watch.take_refused(&lost().server, NOW), []);
+
+    watch.record_lost(lost(), NOW);
+
+    let later = NOW + CRASH_WINDOW;
+    assert_eq!(watch.take_ended(&[start("i-1", 8080, 2_000)], later), []);
+}
+
 fn fingerprint(organisation: &str, method: &str, path: &str, body: &'static str) -> Fingerprint {
     fingerprint_at("orders.example", organisation, method, path, body)
 }
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -1,25 +1,20 @@
 //! Poison requests at one entry instance: detection of crashes, and the quarantine list that it
 //! applies.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use radishpaddle_model::{Fingerprint, Incarnation};
 use serde::{Deserialize, Serialize};
 
 use crate::key::ServerKey;
+use crate::lost_requests::LostRequests;
 use crate::poison::{MAX_ENTRIES, SUSPECT_LIFETIME, TicketId};
 
-/// Time after a lost connection in which evidence of a crash is attributed to it.
-pub const CRASH_WINDOW: Duration = Duration::from_secs(10);
-
 /// Time for which a fingerprint that this instance marked as suspect stays suspect although the
 /// list of the leader lacks it.
 const LOCAL_MARK_LIFETIME: Duration = Duration::from_secs(5);
 
-/// Maximum number of lost requests that wait for evidence of a crash.
-pub const MAX_LOST_REQUESTS: usize = 1024;
-
 /// Identifies a crash of a backend server. Several requests in flight and several instances can
 /// report the same crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -198,14 +193,14 @@
     incarnation: Incarnation,
     fingerprint: Fingerprint,
     ticket: Option<TicketId>,
-    at: Duration,
 }
 
 /// Distinguishes crashes from lost connections. A crash is a connection lost with the request in
-/// flight, followed by a refused connection or a new incarnation within [`CRASH_WINDOW`].
+/// flight, followed by a refused connection or a new incarnation within
+/// [`CRASH_WINDOW`](crate::lost_requests::CRASH_WINDOW).
 #[derive(Debug, Default)]
 pub struct CrashWatch {
-    lost_requests: VecDeque<LostRequest>,
+    lost_requests: LostRequests<LostRequest>,
 }
 
 impl CrashWatch {
@@ -215,8 +210,7 @@
         Self::default()
     }
 
-    /// Records a request whose connection was lost. At most [`MAX_LOST_REQUESTS`] are kept; beyond
-    /// that, the oldest is dropped.
+    /// Records a request whose connection was lost.
     pub fn record_lost(
         &mut self,
         server: ServerKey,
@@ -225,17 +219,13 @@
         ticket: Option<TicketId>,
         now: Duration,
     ) {
-        self.expire(now);
-        if self.lost_requests.len() == MAX_LOST_REQUESTS {
-            self.lost_requests.pop_front();
-        }
-        self.lost_requests.push_back(LostRequest {
+        let lost = LostRequest {
             server,
             incarnation,
             fingerprint,
             ticket,
-            at: now,
-        });
+        };
+        self.lost_requests.record(lost, now);
     }
 
     /// Records that the server refused a connection. Returns the crash that this confirms.
@@ -255,28 +245,18 @@
     }
 
     fn confirm(&mut self, now: Duration, crashed: impl Fn(&LostRequest) -> bool) -> Option<Crash> {
-        self.expire(now);
-        let first = self.lost_requests.iter().find(|lost| crashed(lost))?;
+        let lost_requests = self.lost_requests.take(now, crashed);
+        let first = lost_requests.first()?;
         let id = CrashId {
             server: first.server,
             incarnation: first.incarnation,
         };
-        let requests = self.lost_requests.iter().filter(|lost| crashed(lost));
+        let requests = lost_requests.iter();
         let requests = requests
             .map(|lost| (lost.fingerprint, lost.ticket))
             .collect();
-        self.lost_requests.retain(|lost| !crashed(lost));
         Some(Crash { id, requests })
     }
-
-    fn expire(&mut self, now: Duration) {
-        while let Some(first) = self.lost_requests.front() {
-            if now < first.at + CRASH_WINDOW {
-                return;
-            }
-            self.lost_requests.pop_front();
-        }
-    }
 }
 
 pub(crate) fn to_whole_ms(duration: Duration) -> u64 {
