gateway, entry: Count crashes within answers

Cause: a connection that ends within the answer was an invalid answer, and only a connection that ends before it started the check for a crash. The gateways log no request_crash for these requests.

An answer that its connection cuts is now an outcome of its own (answer_cut at the gateway, AnswerCut at the entry proxy) and starts the same check. At the entry proxy it needs evidence from its own server: two cut answers alone don't count, since servers and intermediaries also cut answers without a crash. Callers get the same result codes as before.

--- a/crates/e2e/tests/backend_faults.rs
+++ b/crates/e2e/tests/backend_faults.rs
@@ -5,7 +5,7 @@
 
 use radishpaddle_e2e::scenario::{action, eventually, is_success, lookup, resend_of, unique_id};
 use radishpaddle_e2e::{FleetPlan, Scenario, full_matrix_enabled};
-use radishpaddle_testkit::backend::FaultPlan;
+use radishpaddle_testkit::backend::{CrashMoment, FaultPlan};
 use radishpaddle_testkit::caller::{AttemptResult, Caller, Operation};
 
 /// Maximum time until a faulty backend server of a small service is ejected (`docs/design.md`,
@@ -321,6 +321,16 @@
 /// through other entry instances.
 #[tokio::test(flavor = "multi_thread")]
 async fn poison_request_costs_at_most_two_servers() {
+    check_poison_request(CrashMoment::BeforeResponse).await;
+}
+
+/// Guards against a poison request whose crashes do not count because they come after the begin of the response.
+#[tokio::test(flavor = "multi_thread")]
+async fn poison_request_that_crashes_within_responses_costs_at_most_two_servers() {
+    check_poison_request(CrashMoment::WithinResponse).await;
+}
+
+async fn check_poison_request(crash_moment: CrashMoment) {
     // Entry instances detect a crash by refused connections, which a fault proxy would hide.
     let plan = FleetPlan {
         backend_proxies: false,
@@ -329,6 +339,7 @@
     let scenario = Scenario::start(plan).await.unwrap();
     scenario.set_faults_on_all_backends(&FaultPlan {
         crash_marker: Some("poison".into()),
+        crash_moment,
         restart_after_ms: Some(300),
         ..FaultPlan::default()
     });
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -22,7 +22,7 @@
 use crate::caller_response::CallerResponse;
 use crate::clock::Clock;
 use crate::forward::{API_KEY, ForwardRequest, ORGANISATION};
-use crate::poison_task::{DispatchPermission, LostRequest, PoisonHandle, TicketClient};
+use crate::poison_task::{DispatchPermission, Loss, LostRequest, PoisonHandle, TicketClient};
 use crate::server_intake::{LEAVING_HEADER, ServerSignals};
 use crate::service_handle::{AcquireRequest, Grant, NotRun, RetryDecision, ServiceHandle};
 
@@ -180,16 +180,18 @@
     /// Reports a lost connection before the caller gets its response, and reports the outcome of
     /// the ticket to the witness leader.
     async fn report_ticket_outcome(&self, result: &AttemptResult, ticket: Option<TicketId>) {
-        let lost = matches!(
-            result.outcome,
-            AttemptOutcome::Unknown(AttemptFailure::ConnectionLost)
-        );
+        let moment = match result.outcome {
+            AttemptOutcome::Unknown(AttemptFailure::ConnectionLost) => Some(Loss::BeforeResponse),
+            AttemptOutcome::Unknown(AttemptFailure::AnswerCut) => Some(Loss::WithinResponse),
+            _ => None,
+        };
         let mut crash = None;
-        if lost {
+        if let Some(loss) = moment {
             let lost = LostRequest {
                 server: Arc::clone(&result.server),
                 fingerprint: self.fingerprint,
                 ticket,
+                loss,
             };
             crash = self.poison.report_lost_request(lost).await;
         }
@@ -376,7 +378,9 @@
             (AttemptFault::ConnectionLost, ResultCode::BackendFailed)
         }
         AttemptFailure::TimedOut => (AttemptFault::TimedOut, ResultCode::BackendTimeout),
-        AttemptFailure::AnswerInvalid => (AttemptFault::AnswerInvalid, ResultCode::AnswerInvalid),
+        AttemptFailure::AnswerCut | AttemptFailure::AnswerInvalid => {
+            (AttemptFault::AnswerInvalid, ResultCode::AnswerInvalid)
+        }
         AttemptFailure::AnswerTooLarge => (AttemptFault::AnswerInvalid, ResultCode::AnswerTooLarge),
     };
     RetryableFailure {
@@ -419,7 +423,9 @@
         AttemptOutcome::Unknown(AttemptFailure::AnswerTooLarge) => {
             Completion::Answered { status: 200 }
         }
-        AttemptOutcome::Unknown(AttemptFailure::AnswerInvalid) => Completion::Truncated,
+        AttemptOutcome::Unknown(AttemptFailure::AnswerCut | AttemptFailure::AnswerInvalid) => {
+            Completion::Truncated
+        }
         AttemptOutcome::Unknown(AttemptFailure::ConnectFailed | AttemptFailure::ConnectionLost) => {
             Completion::ConnectionLost
         }
--- a/crates/entry/src/backend_connection.rs
+++ b/crates/entry/src/backend_connection.rs
@@ -11,7 +11,7 @@
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use radishpaddle_kernel::{HeadLimit, http_headers};
+use radishpaddle_kernel::{HeadLimit, http_errors, http_headers};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout_at};
@@ -38,7 +38,9 @@
     ConnectionLost,
     /// The complete response did not arrive before the deadline.
     TimedOut,
-    /// The response is malformed or truncated, belongs to another request, or cannot be told from a
+    /// The connection was closed within the response.
+    AnswerCut,
+    /// The response is malformed, belongs to another request, or cannot be told from a
     /// late copy of an earlier response.
     AnswerInvalid,
     /// The response exceeds the size limit of the service.
@@ -196,7 +198,7 @@
     }
     let mut bytes_read = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| AttemptFailure::AnswerInvalid)?;
+        let frame = frame.map_err(|error| body_failure(&error))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
@@ -212,6 +214,14 @@
     })
 }
 
+fn body_failure(error: &hyper::Error) -> AttemptFailure {
+    if http_errors::is_connection_end(error) {
+        AttemptFailure::AnswerCut
+    } else {
+        AttemptFailure::AnswerInvalid
+    }
+}
+
 /// Returns whether the body has a length or chunked encoding. A body that is delimited by the end
 /// of the connection cannot be told from a truncated one.
 fn has_explicit_length(parts: &hyper::http::response::Parts) -> bool {
--- a/crates/entry/src/poison_task.rs
+++ b/crates/entry/src/poison_task.rs
@@ -53,7 +53,17 @@
     is_empty: Arc<AtomicBool>,
 }
 
-/// Request whose connection was lost before its response arrived.
+/// When the connection of a request was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Loss {
+    /// Before the response began.
+    BeforeResponse,
+    /// Within the response. Servers and intermediaries also cut responses without a crash, so this loss needs evidence
+    /// from its own server.
+    WithinResponse,
+}
+
+/// Request whose connection was lost before its response was complete.
 #[derive(Debug, Clone)]
 pub struct LostRequest {
     /// Server to which the request was sent.
@@ -62,6 +72,8 @@
     pub fingerprint: Fingerprint,
     /// Ticket under which the request ran, if it was suspect.
     pub ticket: Option<TicketId>,
+    /// When the connection was lost.
+    pub loss: Loss,
 }
 
 type CrashReplySender = oneshot::Sender<Option<CrashId>>;
@@ -306,7 +318,9 @@
                 .flat_map(|earlier| [earlier, crash_for(lost)])
                 .collect()
         };
-        self.add_recent_loss(lost, now);
+        if lost.loss == Loss::BeforeResponse {
+            self.add_recent_loss(lost, now);
+        }
         if crashes.is_empty() {
             let _ = reply.send(None);
         } else {
@@ -318,6 +332,9 @@
     /// [`REPEATED_LOSS_WINDOW`]. Such a request counts as the cause of a crash of both servers,
     /// even if they accepted connections again before the probe.
     fn earlier_crash_at_other_server(&self, lost: &LostRequest, now: Duration) -> Option<Crash> {
+        if lost.loss == Loss::WithinResponse {
+            return None;
+        }
         let earlier = self.recent_losses.iter().find(|(at, known)| {
             now < *at + REPEATED_LOSS_WINDOW
                 && known.fingerprint == lost.fingerprint
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -385,7 +385,7 @@
         };
         in_flight.finish(result, connection);
         match label {
-            "connection_lost" => self.check_crash(&chosen, started_at),
+            "connection_lost" | "answer_cut" => self.check_crash(&chosen, started_at),
             "answered" => self.shared.record_answer(|| self.fingerprint()),
             _ => (),
         }
@@ -575,6 +575,7 @@
     fn classify_failure(&self, failure: SendFailure, overdue: bool) -> AttemptEnd {
         let label = match failure {
             SendFailure::ConnectionLost => "connection_lost",
+            SendFailure::AnswerCut => "answer_cut",
             SendFailure::AnswerInvalid => "answer_invalid",
             SendFailure::AnswerCrossed => "answer_crossed",
             SendFailure::AnswerUnproven => "answer_unproven",
--- a/crates/gateway/src/backend_connection.rs
+++ b/crates/gateway/src/backend_connection.rs
@@ -13,7 +13,7 @@
 use hyper::header::{CONNECTION, CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use radishpaddle_kernel::{HeadLimit, http_headers};
+use radishpaddle_kernel::{HeadLimit, http_errors, http_headers};
 use radishpaddle_policy::{ByteBudget, ByteUse, HeldBytes};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -53,7 +53,9 @@
 pub enum SendFailure {
     /// The connection was closed before the answer began.
     ConnectionLost,
-    /// The answer is truncated, malformed, too large, or encoded by an intermediary.
+    /// The connection was closed within the answer.
+    AnswerCut,
+    /// The answer is malformed, too large, or encoded by an intermediary.
     AnswerInvalid,
     /// The answer belongs to another request, or cannot be told from a late copy of an earlier answer.
     AnswerCrossed,
@@ -116,7 +118,13 @@
                 .map_err(|_| SendFailure::AnswerSilent)?,
             None => next.await,
         };
-        frame.transpose().map_err(|_| SendFailure::AnswerInvalid)
+        frame.transpose().map_err(|error| {
+            if http_errors::is_connection_end(&error) {
+                SendFailure::AnswerCut
+            } else {
+                SendFailure::AnswerInvalid
+            }
+        })
     }
 }
 
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod decision_log;
 pub mod file_watch;
 pub mod head_limit;
+pub mod http_errors;
 pub mod http_headers;
 pub mod http_server;
 pub mod incarnation;
--- a/crates/testkit/src/backend/fault.rs
+++ b/crates/testkit/src/backend/fault.rs
@@ -4,6 +4,18 @@
 
 use super::signal::ResponseHeader;
 
+/// When a request makes the server crash.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CrashMoment {
+    /// Before the first byte of the response.
+    #[default]
+    BeforeResponse,
+    /// After the first byte of the response body.
+    WithinResponse,
+}
+
 /// Faults that a sample backend server injects. The default injects none.
 #[derive(Debug, Clone, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -30,6 +42,8 @@
     pub hang_after_first_byte: bool,
     /// Text in the path, the query or the body of a request that makes the server crash.
     pub crash_marker: Option<String>,
+    /// When such a request makes the server crash.
+    pub crash_moment: CrashMoment,
     /// Time between a crash and the restart with a higher incarnation, in milliseconds; `None` means no
     /// restart.
     pub restart_after_ms: Option<u64>,
--- a/crates/testkit/src/backend/mod.rs
+++ b/crates/testkit/src/backend/mod.rs
@@ -20,7 +20,7 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-pub use fault::FaultPlan;
+pub use fault::{CrashMoment, FaultPlan};
 pub use record::{Execution, RECORDED_BODY_BYTES, digest};
 pub use settings::BackendSettings;
 pub use shared::BackendStatus;
--- a/crates/testkit/src/backend/serve.rs
+++ b/crates/testkit/src/backend/serve.rs
@@ -27,10 +27,13 @@
 use super::response::{BodyEnd, ExcessByteStream, ExcessBytes, ResponseBody, RunningExecution};
 use super::shared::Shared;
 use super::signal::{Arrival, ResponseKind};
-use super::{CallerIdentity, FaultPlan};
+use super::{CallerIdentity, CrashMoment, FaultPlan};
 use crate::caller::ADDRESSES_PATH;
 use crate::clock::now_us;
 
+/// Time in which the first byte of a response is written before the server crashes within it.
+const FIRST_BYTE_TIME: Duration = Duration::from_millis(20);
+
 /// Header with the id of a request.
 const REQUEST_ID: &str = "x-request-id";
 
@@ -191,7 +194,7 @@
     if shared.settings.serves_address_requests && request.uri().path() == ADDRESSES_PATH {
         return Ok(own_address_response(&shared));
     }
-    let plan = shared.faults();
+    let mut plan = shared.faults();
     if !shared.accepts_work() || shed_by_load_or_fault(&shared, &plan) {
         return Ok(shed_response());
     }
@@ -210,7 +213,8 @@
         _permit: permit,
     };
     let path = path_with_query(&head.uri);
-    if plan.is_crash_trigger(path, &body) {
+    let crashes = plan.is_crash_trigger(path, &body);
+    if crashes && plan.crash_moment == CrashMoment::BeforeResponse {
         shared.crash(plan.restart_after_ms);
         // The crash drops this task together with its connection.
         match pending::<Infallible>().await {}
@@ -226,6 +230,11 @@
     } else {
         StatusCode::OK
     };
+    if crashes {
+        plan.hang_after_first_byte = true;
+        let incarnation = shared.incarnation();
+        shared.end_later(incarnation, FIRST_BYTE_TIME, plan.restart_after_ms);
+    }
     let body = response_body(&shared, &head, number);
     execution.guard.record_response(status.as_u16(), &body);
     Ok(response_with_faults(status, body, &plan, excess, execution))
