gateway, docs: Move hedging, classification and intake to modules, and name the new tests

Second copies of requests, the meaning of answers and failures, and the servers that take no new requests are modules of their own now; the code is moved unchanged.

--- a/crates/e2e/src/matrix_requests.rs
+++ b/crates/e2e/src/matrix_requests.rs
@@ -145,12 +145,26 @@
                 Step::BeforeResponse,
                 "backend_faults::poison_request_costs_at_most_two_servers",
             ),
+            (
+                Step::DuringResponse,
+                "backend_faults::poison_request_that_crashes_within_responses_costs_at_most_two_servers",
+            ),
             (
                 Step::AfterResponse,
                 "backend_faults::poison_request_costs_at_most_two_servers",
             ),
         ],
-        uncovered_reason: "the sample backend server crashes when it has read the request",
+        uncovered_reason: "the sample backend server crashes when it has read the request or begun its response",
+    },
+    Row {
+        kind: RowKind::Request,
+        fault: "caller that leaves with further requests sent",
+        guarantees: "none numbered: nothing runs for it any more",
+        covered: &[(
+            Step::BeforeResponse,
+            "pipelining::pipelined_requests_are_cancelled_when_their_caller_leaves",
+        )],
+        uncovered_reason: "the end of the connection is noticed in the same way at every step",
     },
     Row {
         kind: RowKind::Request,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,27 +4,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use radishpaddle_kernel::boot_clock;
 use radishpaddle_model::{Fingerprint, RoutingRule, ServerIncarnation};
-use radishpaddle_policy::hedge::HedgeQuery;
 use radishpaddle_policy::placement::{PlacedWork, RequestTerms};
 use radishpaddle_policy::{Observation, RequestKind, Urgency};
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
-use crate::answer_check::{check_answer, promises_not_run};
+use crate::answer_check::check_answer;
 use crate::attempt_record::AttemptRecord;
 use crate::backend_connection::{
-    BackendAnswer, BackendConnection, ConnectFailure, Reception, SendFailure, SendOutcome,
+    BackendAnswer, BackendConnection, ConnectFailure, Reception, SendOutcome,
 };
 use crate::crash_watch::{LostRequest, ObservedCrash};
 use crate::forward::ForwardRequest;
 use crate::gateway::Shared;
 use crate::left_out::LeftOut;
-use crate::next_step::{
-    AttemptEnd, NextStep, not_sent, preferred_outcome, refused_without_running,
-};
+use crate::next_step::{AttemptEnd, NextStep, not_sent, preferred_outcome};
 use crate::pool::ChosenServer;
 use crate::relay::{Relay, RelayOutcome, RelayRecord};
 use crate::response::{CallerResponse, Refusal};
@@ -41,9 +37,6 @@
 /// second.
 const MIN_BODY_SILENCE: Duration = Duration::from_secs(1);
 
-/// Period in which a late request is checked again for a second copy that was not permitted before.
-const HEDGE_RECHECK_PERIOD: Duration = Duration::from_millis(100);
-
 /// Outcome of a request after all attempts.
 pub struct RequestOutcome {
     /// Answer of a backend server, or the refusal for the caller.
@@ -101,13 +94,7 @@
 }
 
 /// Next step after one copy of the request, and its log entry.
-type CopyEnd = (NextStep, AttemptRecord);
-
-/// What came first: the end of the first copy, or the time for a second one.
-enum FirstCopy {
-    Ended(CopyEnd),
-    Hedged(ChosenServer),
-}
+pub(crate) type CopyEnd = (NextStep, AttemptRecord);
 
 impl RequestPlan {
     /// Makes attempts until there is a final outcome or no further attempt is permitted.
@@ -209,7 +196,7 @@
     }
 
     /// Terms of a placement by expected work; `None` while load is not managed.
-    fn terms(&self, started_at: Instant) -> Option<RequestTerms> {
+    pub(crate) fn terms(&self, started_at: Instant) -> Option<RequestTerms> {
         let objective = Duration::from_millis(self.rule.objective_ms);
         let left = objective.saturating_sub(started_at.elapsed());
         self.shared.request_terms(&self.kind(), left)
@@ -225,7 +212,7 @@
     }
 
     /// Time until the deadline of the request.
-    fn remaining(&self) -> Duration {
+    pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
 
@@ -258,110 +245,7 @@
         tokio::spawn(async move { shared.check_crash(lost).await });
     }
 
-    /// Makes an attempt. If the answer of an idempotent request is late and a hedge is permitted, sends a second copy to
-    /// another server; the first answer wins and the other copy is cancelled. Returns the next step and the number of
-    /// second copies.
-    async fn attempt_with_hedge(
-        &self,
-        chosen: ChosenServer,
-        runs: u32,
-        excluded: &mut Vec<Arc<str>>,
-        attempts: &mut Vec<AttemptRecord>,
-    ) -> (NextStep, u32) {
-        let started_at = Instant::now();
-        let mut first_record = AttemptRecord::new(&chosen);
-        let first_server = chosen.server.clone();
-        let first = self.attempt(chosen);
-        tokio::pin!(first);
-        let second = match self.wait_for_hedge(first.as_mut(), runs, excluded).await {
-            FirstCopy::Ended((next, record)) => {
-                attempts.push(record);
-                return (next, 0);
-            }
-            FirstCopy::Hedged(second) => second,
-        };
-        excluded.push(Arc::clone(&second.server.name));
-        let mut second_record = AttemptRecord::new(&second);
-        let hedged_at = Instant::now();
-        let second = self.attempt(second);
-        tokio::pin!(second);
-        let (next, record, other_record) = tokio::select! {
-            (next, record) = &mut first => {
-                if matches!(next, NextStep::Finish(Ok(_))) {
-                    second_record.cancel(hedged_at);
-                    (next, record, second_record)
-                } else {
-                    let (newer, other) = second.await;
-                    (next.followed_by(newer), record, other)
-                }
-            }
-            (next, record) = &mut second => {
-                if matches!(next, NextStep::Finish(Ok(_))) {
-                    self.record_overtaken(&first_server, started_at);
-                    first_record.cancel(started_at);
-                    (next, record, first_record)
-                } else {
-                    let (newer, other) = first.await;
-                    (next.followed_by(newer), record, other)
-                }
-            }
-        };
-        attempts.extend([record, other_record]);
-        (next, 1)
-    }
-
-    /// Waits until the first copy ends or a second copy may be sent.
-    async fn wait_for_hedge(
-        &self,
-        mut first: impl Future<Output = CopyEnd> + Unpin,
-        runs: u32,
-        excluded: &[Arc<str>],
-    ) -> FirstCopy {
-        let started_at = Instant::now();
-        let mut terms = self.terms(started_at);
-        let delay = self.shared.hedge_delay(&self.rule, terms.as_ref());
-        let may_hedge = self.rule.idempotent && runs + 1 < self.rule.max_attempts;
-        let Some(mut delay) = delay.filter(|_| may_hedge) else {
-            return FirstCopy::Ended(first.await);
-        };
-        loop {
-            tokio::select! {
-                ended = &mut first => return FirstCopy::Ended(ended),
-                () = sleep(delay) => (),
-            }
-            let query = HedgeQuery {
-                idempotent: self.rule.idempotent,
-                objective: Some(Duration::from_millis(self.rule.objective_ms)),
-                elapsed: started_at.elapsed(),
-                remaining: self.remaining(),
-                attempts: runs + 1,
-                in_flight: 0,
-                slots: 0,
-                other_server_free: false,
-            };
-            let shared = &self.shared;
-            let (rule, service) = (&self.rule, &self.service);
-            let second = shared.choose_hedge(rule, service, self.urgency, query, excluded, terms);
-            if let Some(second) = second {
-                return FirstCopy::Hedged(second);
-            }
-            if terms.is_none() {
-                return FirstCopy::Ended(first.await);
-            }
-            // The load may have dropped, or the server may meanwhile count as silent.
-            terms = self.terms(started_at);
-            delay = HEDGE_RECHECK_PERIOD;
-        }
-    }
-
-    /// Counts a copy that was overtaken by a later one against its server, unless it was counted as overdue before.
-    fn record_overtaken(&self, server: &ServerIncarnation, started_at: Instant) {
-        if started_at.elapsed() < self.shared.slow_after(&self.rule.name) {
-            self.shared.record_result(server, AttemptResult::Failed);
-        }
-    }
-
-    async fn attempt(&self, mut chosen: ChosenServer) -> CopyEnd {
+    pub(crate) async fn attempt(&self, mut chosen: ChosenServer) -> CopyEnd {
         let started_at = Instant::now();
         let id = self.request.id(&self.shared.headers);
         chosen.connection = chosen
@@ -505,98 +389,4 @@
             answer.headers.insert(name.clone(), value);
         }
     }
-
-    /// Classifies an answer; `counted` tells that it must not count for or against the server any more.
-    fn classify_answer(
-        &self,
-        answer: BackendAnswer,
-        connection: Option<BackendConnection>,
-        counted: bool,
-    ) -> AttemptEnd {
-        if answer.status == StatusCode::MISDIRECTED_REQUEST {
-            let next = refused_without_running();
-            return (next, AttemptResult::Misdirected, "moved", None);
-        }
-        if answer.headers.contains_key(&self.shared.headers.not_run) {
-            return (
-                refused_without_running(),
-                AttemptResult::Shed,
-                "shed",
-                connection,
-            );
-        }
-        let promises_not_run = promises_not_run(answer.status);
-        if !answer.status.is_server_error() && !promises_not_run {
-            let result = if counted {
-                AttemptResult::Neutral
-            } else {
-                AttemptResult::Succeeded
-            };
-            return (
-                NextStep::Finish(Ok(self.to_caller_response(answer))),
-                result,
-                "answered",
-                connection,
-            );
-        }
-        // A server that answers without the header for requests that were not run may have run it, so a status that
-        // promises callers the contrary is not passed on.
-        let answer_is_server_error = answer.status.is_server_error();
-        let outcome = if promises_not_run {
-            Err(Refusal::OutcomeUnknown)
-        } else {
-            Ok(self.to_caller_response(answer))
-        };
-        let next = if self.rule.idempotent {
-            NextStep::TryAnother {
-                fallback: outcome,
-                arrived: true,
-                may_have_run: true,
-            }
-        } else {
-            NextStep::Finish(outcome)
-        };
-        // A client error says nothing about the health of the server.
-        if !answer_is_server_error {
-            return (next, AttemptResult::Neutral, "unproven_refusal", connection);
-        }
-        let result = if counted {
-            AttemptResult::Neutral
-        } else {
-            AttemptResult::Failed
-        };
-        (next, result, "server_error", connection)
-    }
-
-    fn to_caller_response(&self, answer: BackendAnswer) -> CallerResponse {
-        CallerResponse::forwarded(answer, self.request.is_head())
-    }
-
-    fn classify_failure(&self, failure: SendFailure, overdue: bool) -> AttemptEnd {
-        let label = match failure {
-            SendFailure::ConnectionLost => "connection_lost",
-            SendFailure::AnswerCut => "answer_cut",
-            SendFailure::AnswerInvalid => "answer_invalid",
-            SendFailure::AnswerCrossed => "answer_crossed",
-            SendFailure::AnswerUnproven => "answer_unproven",
-            SendFailure::AnswerSilent => "answer_silent",
-            SendFailure::MemoryExhausted => "memory_exhausted",
-        };
-        let next = if self.rule.idempotent {
-            NextStep::TryAnother {
-                fallback: Err(Refusal::OutcomeUnknown),
-                arrived: true,
-                may_have_run: true,
-            }
-        } else {
-            NextStep::Finish(Err(Refusal::OutcomeUnknown))
-        };
-        let is_own_fault = failure == SendFailure::MemoryExhausted;
-        let result = if overdue || is_own_fault {
-            AttemptResult::Neutral
-        } else {
-            AttemptResult::Failed
-        };
-        (next, result, label, None)
-    }
 }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -9,7 +9,7 @@
 use radishpaddle_policy::placement::{
     Candidate, FailureImpact, PlacedWork, Placement, Reason, RequestTerms, sample_zones,
 };
-use radishpaddle_policy::{IntakeTable, NoNewRequests, PauseChange, RetryAfter, Urgency};
+use radishpaddle_policy::{IntakeTable, Urgency};
 use radishpaddle_wire::ServerUpdate;
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom as _;
@@ -87,9 +87,9 @@
     pub(crate) services: HashMap<Arc<str>, HashMap<Arc<str>, Server>>,
     pub(crate) service_of: HashMap<Arc<str>, Arc<str>>,
     names_by_short_key: HashMap<u32, Arc<str>>,
-    retirements: Retirements,
+    pub(crate) retirements: Retirements,
     /// What servers said in their answers about new requests.
-    intakes: IntakeTable,
+    pub(crate) intakes: IntakeTable,
     /// Evacuated availability zones.
     pub(crate) zones: Zones,
     pub(crate) cold: ColdServers,
@@ -461,52 +461,6 @@
         }
     }
 
-    /// Records that a server said that it is leaving, and closes its idle connections. Returns whether that is new.
-    pub fn record_leaving(&mut self, server: &ServerIncarnation, now: Duration) -> bool {
-        let is_new = self.intakes.record_leaving(server, now);
-        if is_new && let Some(known) = self.incarnation_mut(server) {
-            known.idle.clear();
-        }
-        is_new
-    }
-
-    /// Records that a server asked for a pause. Returns `None` when nothing changes.
-    pub fn record_pause(
-        &mut self,
-        server: &ServerIncarnation,
-        pause: RetryAfter,
-        now: Duration,
-    ) -> Option<PauseChange> {
-        let random = self.random();
-        self.intakes.record_pause(server, pause, random, now)
-    }
-
-    /// Why a server gets no new requests because of its answers; `None` when it gets some.
-    #[must_use]
-    pub fn no_new_requests(
-        &self,
-        server: &ServerIncarnation,
-        now: Duration,
-    ) -> Option<NoNewRequests> {
-        self.intakes
-            .refusal(&server.name, server.started_at_ms, now)
-    }
-
-    /// Whether a server has said that it is leaving, or its drain or departure was acknowledged.
-    #[must_use]
-    pub(crate) fn has_left(&self, server: &ServerIncarnation, now: Duration) -> bool {
-        self.no_new_requests(server, now) == Some(NoNewRequests::Leaving)
-            || self
-                .retirements
-                .cover_start(&server.name, server.started_at_ms)
-    }
-
-    /// Number of servers that are paused.
-    #[must_use]
-    pub fn paused_servers(&self, now: Duration) -> usize {
-        self.intakes.paused_servers(now)
-    }
-
     /// Counts a request that this gateway refused itself. Gateways do not report their refusals to each other, so each
     /// one assumes that the others refuse as many.
     pub fn count_refused(&mut self, service: &Arc<str>, now: Duration) {
@@ -589,7 +543,7 @@
         }
     }
 
-    fn incarnation_mut(&mut self, server: &ServerIncarnation) -> Option<&mut Server> {
+    pub(crate) fn incarnation_mut(&mut self, server: &ServerIncarnation) -> Option<&mut Server> {
         let known = self.server_mut(&server.name)?;
         (known.presence.started_at_ms == server.started_at_ms).then_some(known)
     }
