gateway: Let a refused connection explain only the request it was checked for

A refused connection counted all requests that had lost a connection to that server within 10 s, also those that broke off while it was alive. Each lost request has a check of its own, so only that one counts; the announcement of a later start still counts all, since nothing else would show their cause.

--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -30,21 +30,22 @@
     /// ones, and with an interrupted network path there is no answer. Then only a later start of the server would show
     /// that it crashed, see [`Self::record_starts`]. The end of a server that is leaving is no crash.
     pub(crate) async fn check_crash(&self, lost: LostRequest) {
-        let (server, address) = (lost.server.clone(), lost.address);
-        self.crash_watch().record_lost(lost, boot_clock::now());
+        self.crash_watch()
+            .record_lost(lost.clone(), boot_clock::now());
         tokio::time::sleep(CRASH_CHECK_DELAY).await;
-        if self.is_leaving(&server) {
+        let server = &lost.server;
+        if self.is_leaving(server) {
             return;
         }
-        match BackendConnection::open(address, CONNECT_TIMEOUT).await {
+        match BackendConnection::open(lost.address, CONNECT_TIMEOUT).await {
             Ok(connection) => {
                 self.record_connected();
-                self.store_idle(&server, connection);
+                self.store_idle(server, connection);
             }
             Err(ConnectFailure::Unreachable) => self.record_connect_failure(&server.name),
             Err(ConnectFailure::Refused) => {
                 self.record_connect_failure(&server.name);
-                let crashed = self.crash_watch().take_refused(&server, boot_clock::now());
+                let crashed = self.crash_watch().take_refused(&lost, boot_clock::now());
                 self.record_crashes(crashed, "refused");
             }
         }
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -93,9 +93,10 @@
         self.lost.record(lost, now);
     }
 
-    /// Returns the requests that were in flight at a backend server which refuses connections.
-    pub fn take_refused(&mut self, server: &ServerIncarnation, now: Duration) -> Vec<LostRequest> {
-        self.lost.take(now, |lost| lost.server == *server)
+    /// Returns a lost request whose backend server refuses connections, unless its loss has been explained before.
+    /// Other losses at that server may be older than its end, and have checks of their own.
+    pub fn take_refused(&mut self, refused: &LostRequest, now: Duration) -> Vec<LostRequest> {
+        self.lost.take(now, |lost| lost == refused)
     }
 
     /// Returns the requests that were in flight at backend servers which have ended according to announcements.
--- a/crates/gateway/tests/crash_watch.rs
+++ b/crates/gateway/tests/crash_watch.rs
@@ -144,20 +144,29 @@
 
         assert_eq!(ended.len(), expected, "{name}");
         assert_eq!(
-            watch.take_refused(&lost().server, NOW).len(),
+            watch.take_refused(&lost(), NOW).len(),
             1 - expected,
             "{name}"
         );
     }
 }
 
-/// Guards against a loss that is attributed to a restart long after it, and against one that counts twice.
+/// Guards against a loss that is attributed to a restart long after it, against one that counts twice, and against one that
+/// counts because of the check for another request.
 #[test]
 fn a_lost_request_counts_once_and_for_a_limited_time() {
     let mut watch = CrashWatch::default();
+    let other = LostRequest {
+        crash: ObservedCrash {
+            request: Fingerprint([8; 16]),
+            ..OBSERVED
+        },
+        ..lost()
+    };
+    watch.record_lost(other, NOW);
     watch.record_lost(lost(), NOW);
-    assert_eq!(watch.take_refused(&lost().server, NOW), [lost()]);
-    assert_eq!(watch.take_refused(&lost().server, NOW), []);
+    assert_eq!(watch.take_refused(&lost(), NOW), [lost()]);
+    assert_eq!(watch.take_refused(&lost(), NOW), []);
 
     watch.record_lost(lost(), NOW);
 
