testkit: Wait until a suspended process has stopped

Cause: SIGSTOP takes effect some time after it was sent, when each thread next runs, and suspend returned at once. It now waits until the system reports the process as stopped.

--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result, bail};
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid};
 use tempfile::TempDir;
 
 /// Interval at which a process and its log are polled.
@@ -163,7 +163,11 @@
     ///
     /// Returns an error when the process has been waited for already.
     pub fn suspend(&self) -> Result<()> {
-        self.signal(Signal::STOP)
+        self.signal(Signal::STOP)?;
+        // The threads stop some time after the signal was sent, and go on answering until then.
+        let options = WaitIdOptions::STOPPED | WaitIdOptions::NOWAIT;
+        waitid(WaitId::Pid(self.pid()?), options)?;
+        Ok(())
     }
 
     /// Sends SIGCONT to a suspended process.
@@ -289,9 +293,12 @@
         if self.reaped {
             bail!("{} has already exited", self.name);
         }
+        Ok(kill_process(self.pid()?, signal)?)
+    }
+
+    fn pid(&self) -> Result<Pid> {
         let id = i32::try_from(self.child.id())?;
-        let pid = Pid::from_raw(id).context("the process id is not positive")?;
-        Ok(kill_process(pid, signal)?)
+        Pid::from_raw(id).context("the process id is not positive")
     }
 
     fn log_tail(&self) -> String {
