--- a/review/stand_ins_3/fleet.rs
+++ b/review/stand_ins_3/fleet.rs
@@ -41,7 +41,10 @@
 impl Record {
     pub fn create(path: &str) -> Arc<Self> {
         let file = File::create(path).expect("record.txt can be written");
-        Arc::new(Self { started_at: Instant::now(), file: Mutex::new(file) })
+        Arc::new(Self {
+            started_at: Instant::now(),
+            file: Mutex::new(file),
+        })
     }
 
     pub fn line(&self, text: &str) {
@@ -52,7 +55,13 @@
 }
 
 pub fn now_ms() -> u64 {
-    u64::try_from(SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis()).unwrap()
+    u64::try_from(
+        SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap()
+            .as_millis(),
+    )
+    .unwrap()
 }
 
 /// Whether the disruption takes place.
@@ -95,7 +104,11 @@
 }
 
 fn spawn(program: &str, settings: &PathBuf, log: &PathBuf) -> Child {
-    let log = fs::OpenOptions::new().create(true).append(true).open(log).unwrap();
+    let log = fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(log)
+        .unwrap();
     Command::new(program)
         .env_clear()
         .env("RADISHPADDLE_CONFIG", settings)
@@ -129,7 +142,8 @@
     for attempt in 0..200u64 {
         let value = seed.wrapping_add(attempt.wrapping_mul(7919));
         let network = format!("127.{}.{}", 100 + value % 100, 1 + (value / 100) % 250);
-        let is_free = |host: u32, port: u16| TcpListener::bind(format!("{network}.{host}:{port}")).is_ok();
+        let is_free =
+            |host: u32, port: u16| TcpListener::bind(format!("{network}.{host}:{port}")).is_ok();
         if (1..=3).all(|host| is_free(host, 8407) && is_free(host, 7660)) && is_free(10, 8405) {
             return network;
         }
@@ -141,7 +155,8 @@
     /// Starts three coordinators and `gateways` gateways.
     pub fn start(gateways: u32, record: &Arc<Record>) -> Self {
         let network = free_network();
-        let directory = std::env::temp_dir().join(format!("review-3-{}-{}", std::process::id(), now_ms()));
+        let directory =
+            std::env::temp_dir().join(format!("review-3-{}-{}", std::process::id(), now_ms()));
         fs::create_dir_all(&directory).unwrap();
         let mut fleet = Self {
             directory,
@@ -179,21 +194,45 @@
 
     fn start_coordinator(&self, host: u32) -> Process {
         let network = &self.network;
-        let listen = format!(r#"{{"control":"{network}.{host}:8407","directory":"{network}.{host}:8404"}}"#);
+        let listen =
+            format!(r#"{{"control":"{network}.{host}:8407","directory":"{network}.{host}:8404"}}"#);
         let data = self.directory.join(format!("core-{host}"));
         fs::create_dir_all(&data).unwrap();
         let data = format!("{:?}", data.display().to_string());
-        self.start_process("coordinator", &format!("core-{host}"), host, &listen, &data, "core")
+        self.start_process(
+            "coordinator",
+            &format!("core-{host}"),
+            host,
+            &listen,
+            &data,
+            "core",
+        )
     }
 
     fn start_gateway(&self, host: u32) -> Process {
         let network = &self.network;
-        let listen = format!(r#"{{"front":"{network}.{host}:8405","ready":"{network}.{host}:8406"}}"#);
-        self.start_process("gateway", &format!("front-{host}"), host, &listen, "null", "front")
+        let listen =
+            format!(r#"{{"front":"{network}.{host}:8405","ready":"{network}.{host}:8406"}}"#);
+        self.start_process(
+            "gateway",
+            &format!("front-{host}"),
+            host,
+            &listen,
+            "null",
+            "front",
+        )
     }
 
     /// Writes a settings file like that of a small deployment, and starts the program of the deploy file with it.
-    fn start_process(&self, program: &str, name: &str, host: u32, listen: &str, data: &str, class: &str) -> Process {
+    fn start_process(
+        &self,
+        program: &str,
+        name: &str,
+        host: u32,
+        listen: &str,
+        data: &str,
+        class: &str,
+    ) -> Process {
         let network = &self.network;
         let (serves, memory, in_tolerance) = if class == "core" {
             (r#"["control","directory"]"#, 256, true)
@@ -221,7 +260,13 @@
         let program = format!("target/release/radishpaddle-{program}");
         let log = self.directory.join(format!("{name}.log"));
         let child = spawn(&program, &file, &log);
-        Process { name: name.to_owned(), child, file, program, log }
+        Process {
+            name: name.to_owned(),
+            child,
+            file,
+            program,
+            log,
+        }
     }
 
     /// Sends a configuration until it is acknowledged, as operators do. Returns when that was; `None` after 20 s.
@@ -231,14 +276,26 @@
         while Instant::now() < deadline {
             let control = self.control(attempt % 3);
             attempt += 1;
-            let sent = exchange(&control, "PUT", "/-/config", &[("Host", &control)], document.as_bytes(), 1_000);
+            let sent = exchange(
+                &control,
+                "PUT",
+                "/-/config",
+                &[("Host", &control)],
+                document.as_bytes(),
+                1_000,
+            );
             if let Some(answer) = &sent {
                 if answer.status == 200 {
-                    self.record.line(&format!("config acknowledged by {control}: {document}"));
+                    self.record
+                        .line(&format!("config acknowledged by {control}: {document}"));
                     return Some(Instant::now());
                 }
                 if answer.status < 500 {
-                    self.record.line(&format!("config refused by {control} with {}: {}", answer.status, answer.text()));
+                    self.record.line(&format!(
+                        "config refused by {control} with {}: {}",
+                        answer.status,
+                        answer.text()
+                    ));
                     return None;
                 }
             }
@@ -253,7 +310,14 @@
         (0..self.gateways.len()).all(|index| {
             let address = self.ready(index);
             loop {
-                let answer = exchange(&address, "GET", "/-/ready", &[("Host", &address)], b"", 1_000);
+                let answer = exchange(
+                    &address,
+                    "GET",
+                    "/-/ready",
+                    &[("Host", &address)],
+                    b"",
+                    1_000,
+                );
                 if answer.is_some_and(|answer| answer.status == 200) {
                     return true;
                 }
@@ -283,7 +347,10 @@
 impl Message {
     /// First value of a header; `name` is in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str())
+        self.headers
+            .iter()
+            .find(|(known, _)| known == name)
+            .map(|(_, value)| value.as_str())
     }
 
     pub fn text(&self) -> String {
@@ -318,14 +385,26 @@
     let start_line = lines.next()?.to_owned();
     let headers = lines.filter_map(|line| line.split_once(':'));
     let headers = headers.map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()));
-    let status = start_line.split(' ').nth(1).and_then(|word| word.parse().ok()).unwrap_or(0);
-    Some(Message { headers: headers.collect(), status, start_line, body: Vec::new() })
+    let status = start_line
+        .split(' ')
+        .nth(1)
+        .and_then(|word| word.parse().ok())
+        .unwrap_or(0);
+    Some(Message {
+        headers: headers.collect(),
+        status,
+        start_line,
+        body: Vec::new(),
+    })
 }
 
 /// Reads a whole message with a length.
 pub fn read_message(stream: &mut TcpStream, rest: &mut Vec<u8>) -> Option<Message> {
     let mut message = read_head(stream, rest)?;
-    let length: usize = message.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let length: usize = message
+        .header("content-length")
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0);
     while rest.len() < length {
         let mut buffer = [0; 16_384];
         let count = stream.read(&mut buffer).ok()?;
@@ -360,10 +439,14 @@
     pub fn open(address: &str, timeout_ms: u64) -> Option<Self> {
         let timeout = Duration::from_millis(timeout_ms);
         let address: SocketAddr = address.parse().ok()?;
-        let stream = TcpStream::connect_timeout(&address, timeout.min(Duration::from_secs(1))).ok()?;
+        let stream =
+            TcpStream::connect_timeout(&address, timeout.min(Duration::from_secs(1))).ok()?;
         stream.set_nodelay(true).ok()?;
         stream.set_read_timeout(Some(timeout)).ok()?;
-        Some(Self { stream, rest: Vec::new() })
+        Some(Self {
+            stream,
+            rest: Vec::new(),
+        })
     }
 
     pub fn send(&mut self, bytes: &[u8]) -> bool {
@@ -387,7 +470,9 @@
     let mut connection = Connection::open(address, timeout_ms)?;
     let mut headers = headers.to_vec();
     headers.push(("Connection", "close"));
-    connection.send(&format_request(method, path, &headers, body)).then_some(())?;
+    connection
+        .send(&format_request(method, path, &headers, body))
+        .then_some(())?;
     connection.receive()
 }
 
@@ -423,14 +508,19 @@
     pub fn start(fleet: &Fleet, id: &str, service: &str, handler: Handler) -> Self {
         let listener = TcpListener::bind(format!("{}.100:0", fleet.network)).unwrap();
         let address = listener.local_addr().unwrap().to_string();
-        let worker = Self { id: id.to_owned(), address: address.clone(), stop: Arc::default() };
+        let worker = Self {
+            id: id.to_owned(),
+            address: address.clone(),
+            stop: Arc::default(),
+        };
         let (own_id, stop) = (worker.id.clone(), Arc::clone(&worker.stop));
         thread::spawn(move || {
             for stream in listener.incoming() {
                 if stop.load(Ordering::Relaxed) {
                     return;
                 }
-                let (Ok(stream), handler, own_id) = (stream, Arc::clone(&handler), own_id.clone()) else {
+                let (Ok(stream), handler, own_id) = (stream, Arc::clone(&handler), own_id.clone())
+                else {
                     continue;
                 };
                 thread::spawn(move || serve(stream, &handler, &own_id));
@@ -448,11 +538,18 @@
                 );
                 let path = format!("/-/workers/{id}");
                 let acknowledged = controls.iter().any(|control| {
-                    let headers = [("Host", control.as_str()), ("Content-Type", "application/json")];
+                    let headers = [
+                        ("Host", control.as_str()),
+                        ("Content-Type", "application/json"),
+                    ];
                     let answer = exchange(control, "PUT", &path, &headers, body.as_bytes(), 1_000);
                     answer.is_some_and(|answer| answer.status == 200)
                 });
-                thread::sleep(Duration::from_millis(if acknowledged { 1_500 } else { 200 }));
+                thread::sleep(Duration::from_millis(if acknowledged {
+                    1_500
+                } else {
+                    200
+                }));
             }
         });
         worker
@@ -471,13 +568,17 @@
     let mut rest = Vec::new();
     while let Some(request) = read_message(&mut stream, &mut rest) {
         if request.path() == "/health" {
-            let answer = format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {own_id}\r\nContent-Length: 0\r\n\r\n");
+            let answer =
+                format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {own_id}\r\nContent-Length: 0\r\n\r\n");
             if stream.write_all(answer.as_bytes()).is_err() {
                 return;
             }
             continue;
         }
-        if request.header("x-target-instance").is_some_and(|target| target != own_id) {
+        if request
+            .header("x-target-instance")
+            .is_some_and(|target| target != own_id)
+        {
             let answer = "HTTP/1.1 421 Misdirected Request\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
             if stream.write_all(answer.as_bytes()).is_err() {
                 return;
@@ -504,7 +605,11 @@
     pub fn bytes(&self) -> Vec<u8> {
         let deadline = self.deadline_ms.to_string();
         let authorization = self.key.map(|key| format!("Bearer {key}"));
-        let mut headers = vec![("Host", HOST), ("X-Request-Id", self.id), ("X-Deadline-Ms", &deadline)];
+        let mut headers = vec![
+            ("Host", HOST),
+            ("X-Request-Id", self.id),
+            ("X-Deadline-Ms", &deadline),
+        ];
         if let Some(authorization) = &authorization {
             headers.push(("Authorization", authorization));
         }
@@ -526,9 +631,18 @@
     while Instant::now() < deadline {
         number += 1;
         let id = format!("start-{number}");
-        let call = Call { method: "GET", path, id: &id, key, deadline_ms: 3_000, body: b"" };
+        let call = Call {
+            method: "GET",
+            path,
+            id: &id,
+            key,
+            deadline_ms: 3_000,
+            body: b"",
+        };
         if call.send(front).is_some_and(|answer| answer.status == 200) {
-            fleet.record.line(&format!("first request served by {front}: {path}"));
+            fleet
+                .record
+                .line(&format!("first request served by {front}: {path}"));
             return true;
         }
         thread::sleep(Duration::from_millis(100));
@@ -551,13 +665,23 @@
 }
 
 /// Writes a configuration with these organisations and one route.
-pub fn config(version: u32, max_header_bytes: u32, tenants: &[Tenant<'_>], route: &Route<'_>) -> String {
+pub fn config(
+    version: u32,
+    max_header_bytes: u32,
+    tenants: &[Tenant<'_>],
+    route: &Route<'_>,
+) -> String {
     let tenants = tenants.iter().map(|tenant| {
         let Tenant { name, key } = tenant;
         format!(r#"{{"name":"{name}","api-keys":["{key}"],"priority":1,"per-s":67,"burst":67}}"#)
     });
     let tenants = tenants.collect::<Vec<_>>().join(",");
-    let Route { prefix, kind, public, timeout_s } = route;
+    let Route {
+        prefix,
+        kind,
+        public,
+        timeout_s,
+    } = route;
     format!(
         r#"{{"version":{version},"limits":{{"max-header-bytes":{max_header_bytes},"max-body-bytes":67108864,"header-timeout-s":3,"idle-timeout-s":15}},"tenants":[{tenants}],"listeners":[{{"host":"{HOST}","rules":[{{"name":"r-puxsr7i","kind":"{kind}","target-latency-s":1.2,"priority":1,"public":{public},"match":{{"path-prefix":"{prefix}"}},"action":{{"service":"collect","timeout-s":{timeout_s},"max-attempts":2}}}}]}}],"clusters":[{{"name":"collect","health-path":"/health","max-conns":390,"protocol":"h1","tls":false}}]}}"#
     )
@@ -566,9 +690,15 @@
 /// Runs a case, which writes to the file that the first argument names, and exits with 1 if the rule was broken, 0 if it
 /// held, and 2 if the case could not run.
 pub fn run_case(case: fn(&Arc<Record>) -> Verdict) -> ! {
-    let path = std::env::args().nth(1).unwrap_or_else(|| "record.txt".to_owned());
+    let path = std::env::args()
+        .nth(1)
+        .unwrap_or_else(|| "record.txt".to_owned());
     let record = Record::create(&path);
-    record.line(if has_trouble() { "with the disruption" } else { "without the disruption" });
+    record.line(if has_trouble() {
+        "with the disruption"
+    } else {
+        "without the disruption"
+    });
     let verdict = std::panic::catch_unwind(|| case(&record));
     let verdict = verdict.unwrap_or_else(|_| Verdict::CannotRun("the stand-ins failed".to_owned()));
     let (code, text) = match verdict {
--- a/review/stand_ins_3/moved_key.rs
+++ b/review/stand_ins_3/moved_key.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use fleet::{
-    Call, Fleet, Handler, Record, Route, SIGCONT, SIGSTOP, Tenant, Verdict, Worker, answer_head, config, has_trouble,
-    run_case, wait_served,
+    Call, Fleet, Handler, Record, Route, SIGCONT, SIGSTOP, Tenant, Verdict, Worker, answer_head,
+    config, has_trouble, run_case, wait_served,
 };
 
 const MOVED_KEY: &str = "2b9wu3fexd9dnn2ctnfz";
@@ -29,7 +29,16 @@
 const REQUESTS: usize = 5;
 
 fn second_config(route: &Route<'_>) -> String {
-    let tenants = [Tenant { name: FORMER, key: FIRST_KEY }, Tenant { name: HOLDER, key: MOVED_KEY }];
+    let tenants = [
+        Tenant {
+            name: FORMER,
+            key: FIRST_KEY,
+        },
+        Tenant {
+            name: HOLDER,
+            key: MOVED_KEY,
+        },
+    ];
     config(9, 16_384, &tenants, route)
 }
 
@@ -38,17 +47,39 @@
     let runs: Arc<Mutex<Vec<(String, String)>>> = Arc::default();
     let (log, seen) = (Arc::clone(record), Arc::clone(&runs));
     let handler: Handler = Arc::new(move |request, stream| {
-        let id = request.header("x-request-id").unwrap_or_default().to_owned();
+        let id = request
+            .header("x-request-id")
+            .unwrap_or_default()
+            .to_owned();
         let tenant = request.header("x-tenant").unwrap_or("(none)").to_owned();
         log.line(&format!("a server runs {id} with X-Tenant: {tenant}"));
         seen.lock().unwrap().push((id, tenant));
-        stream.write_all(answer_head(request, "200 OK", "", 0).as_bytes()).is_ok()
+        stream
+            .write_all(answer_head(request, "200 OK", "", 0).as_bytes())
+            .is_ok()
     });
-    let workers = ["i-1", "i-2"].map(|id| Worker::start(&fleet, id, "collect", Arc::clone(&handler)));
-    let route = Route { prefix: "/lohu930/", kind: "safe", public: true, timeout_s: 4 };
-    let first = [Tenant { name: FORMER, key: MOVED_KEY }, Tenant { name: HOLDER, key: SECOND_KEY }];
+    let workers =
+        ["i-1", "i-2"].map(|id| Worker::start(&fleet, id, "collect", Arc::clone(&handler)));
+    let route = Route {
+        prefix: "/lohu930/",
+        kind: "safe",
+        public: true,
+        timeout_s: 4,
+    };
+    let first = [
+        Tenant {
+            name: FORMER,
+            key: MOVED_KEY,
+        },
+        Tenant {
+            name: HOLDER,
+            key: SECOND_KEY,
+        },
+    ];
     let front = fleet.front(0);
-    if fleet.put_config(&config(7, 16_384, &first, &route)).is_none()
+    if fleet
+        .put_config(&config(7, 16_384, &first, &route))
+        .is_none()
         || !fleet.wait_ready()
         || !wait_served(&fleet, &front, "/lohu930/first", Some(MOVED_KEY))
     {
@@ -69,10 +100,20 @@
             thread::spawn(move || {
                 let id = format!("later-{number}");
                 let path = "/lohu930/2f";
-                let call = Call { method: "GET", path, id: &id, key: Some(MOVED_KEY), deadline_ms: 4_000, body: b"" };
+                let call = Call {
+                    method: "GET",
+                    path,
+                    id: &id,
+                    key: Some(MOVED_KEY),
+                    deadline_ms: 4_000,
+                    body: b"",
+                };
                 record.line(&format!("{id} sent with the key of {HOLDER}"));
                 let answer = call.send(&front);
-                record.line(&format!("{id} answered: {:?}", answer.map(|answer| answer.status)));
+                record.line(&format!(
+                    "{id} answered: {:?}",
+                    answer.map(|answer| answer.status)
+                ));
             })
         })
         .collect();
@@ -88,8 +129,15 @@
     let runs = runs.lock().unwrap();
     let later = runs.iter().filter(|(id, _)| id.starts_with("later"));
     let wrong = later.clone().filter(|(_, tenant)| tenant != HOLDER).count();
-    let text = format!("{wrong} of {} runs had another X-Tenant than {HOLDER}, which holds the key", later.count());
-    if wrong > 0 { Verdict::Broken(text) } else { Verdict::Held(text) }
+    let text = format!(
+        "{wrong} of {} runs had another X-Tenant than {HOLDER}, which holds the key",
+        later.count()
+    );
+    if wrong > 0 {
+        Verdict::Broken(text)
+    } else {
+        Verdict::Held(text)
+    }
 }
 
 fn main() {
--- a/review/stand_ins_3/planned_stop.rs
+++ b/review/stand_ins_3/planned_stop.rs
@@ -10,8 +10,8 @@
 use std::time::{Duration, Instant};
 
 use fleet::{
-    Call, Fleet, Handler, Record, Route, SIGTERM, Tenant, Verdict, Worker, answer_head, config, has_trouble, run_case,
-    wait_served,
+    Call, Fleet, Handler, Record, Route, SIGTERM, Tenant, Verdict, Worker, answer_head, config,
+    has_trouble, run_case, wait_served,
 };
 
 const KEY: &str = "2b9wu3fexd9dnn2ctnfz";
@@ -36,7 +36,10 @@
 fn handler(record: &Arc<Record>, runs: &Runs) -> Handler {
     let (record, runs) = (Arc::clone(record), Arc::clone(runs));
     Arc::new(move |request, stream| {
-        let id = request.header("x-request-id").unwrap_or_default().to_owned();
+        let id = request
+            .header("x-request-id")
+            .unwrap_or_default()
+            .to_owned();
         let body = "0123456789".repeat(20);
         let (first, second) = body.as_bytes().split_at(100);
         let run = {
@@ -45,15 +48,22 @@
             of_request.push(None);
             of_request.len() - 1
         };
-        let target = request.header("x-target-instance").unwrap_or_default().to_owned();
+        let target = request
+            .header("x-target-instance")
+            .unwrap_or_default()
+            .to_owned();
         record.line(&format!("{target} begins to run {id}"));
         let head = answer_head(request, "200 OK", "", body.len());
-        let begun = stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(first));
+        let begun = stream
+            .write_all(head.as_bytes())
+            .and_then(|()| stream.write_all(first));
         if request.path().ends_with("/report") {
             thread::sleep(WORK);
         }
         let written = begun.and_then(|()| stream.write_all(second)).is_ok();
-        record.line(&format!("{target} has sent the whole answer to {id}: {written}"));
+        record.line(&format!(
+            "{target} has sent the whole answer to {id}: {written}"
+        ));
         runs.lock().unwrap().get_mut(&id).unwrap()[run] = Some(written);
         written
     })
@@ -70,29 +80,54 @@
 fn send(front: &str, id: String, record: &Record) -> Answer {
     let sent_at = Instant::now();
     let deadline_ms = u64::try_from(BUDGET.as_millis()).unwrap();
-    let call = Call { method: "GET", path: "/lohu930/report", id: &id, key: Some(KEY), deadline_ms, body: b"" };
+    let call = Call {
+        method: "GET",
+        path: "/lohu930/report",
+        id: &id,
+        key: Some(KEY),
+        deadline_ms,
+        body: b"",
+    };
     record.line(&format!("{id} sent to {front}"));
     let answer = call.send(front);
     let took = sent_at.elapsed();
     let status = answer.as_ref().map(|answer| answer.status);
-    let has_seal = answer.as_ref().is_some_and(|answer| answer.header("x-server-seal").is_some());
+    let has_seal = answer
+        .as_ref()
+        .is_some_and(|answer| answer.header("x-server-seal").is_some());
     record.line(&format!(
         "{id} answered after {} ms: {status:?}, seal of a server: {has_seal}, body {:?}",
         took.as_millis(),
         answer.map(|answer| answer.text())
     ));
-    Answer { id, status, has_seal, took }
+    Answer {
+        id,
+        status,
+        has_seal,
+        took,
+    }
 }
 
 fn case(record: &Arc<Record>) -> Verdict {
     let fleet = Fleet::start(2, record);
     let runs = Runs::default();
     let handler = handler(record, &runs);
-    let workers = ["i-1", "i-2", "i-3"].map(|id| Worker::start(&fleet, id, "collect", Arc::clone(&handler)));
-    let tenants = [Tenant { name: "huka270", key: KEY }];
-    let route = Route { prefix: "/lohu930/", kind: "safe", public: false, timeout_s: 4 };
+    let workers =
+        ["i-1", "i-2", "i-3"].map(|id| Worker::start(&fleet, id, "collect", Arc::clone(&handler)));
+    let tenants = [Tenant {
+        name: "huka270",
+        key: KEY,
+    }];
+    let route = Route {
+        prefix: "/lohu930/",
+        kind: "safe",
+        public: false,
+        timeout_s: 4,
+    };
     let front = fleet.front(0);
-    if fleet.put_config(&config(7, 16_384, &tenants, &route)).is_none()
+    if fleet
+        .put_config(&config(7, 16_384, &tenants, &route))
+        .is_none()
         || !fleet.wait_ready()
         || !wait_served(&fleet, &front, "/lohu930/first", Some(KEY))
     {
@@ -127,7 +162,9 @@
     if has_trouble() && replaced > 0 {
         Verdict::Broken(text)
     } else {
-        Verdict::Held(format!("{text}; the rule concerns requests at a planned stop"))
+        Verdict::Held(format!(
+            "{text}; the rule concerns requests at a planned stop"
+        ))
     }
 }
 
