--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for program in planned_stop moved_key raised_limit; do
+for program in planned_stop moved_key reborn_worker; do
   rustc --edition 2024 -O -o "target/review-3/$program" "review/stand_ins_3/$program.rs"
 done
