--- a/review/stand_ins_3/fleet.rs
+++ b/review/stand_ins_3/fleet.rs
@@ -13,8 +13,6 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-pub const SIGHUP: i32 = 1;
-pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
@@ -72,9 +70,6 @@
 pub struct Process {
     pub name: String,
     child: Child,
-    file: PathBuf,
-    program: String,
-    log: PathBuf,
 }
 
 impl Process {
@@ -83,16 +78,6 @@
         // SAFETY: `kill` has no memory effects; the process is a child that was not waited for.
         unsafe { kill(pid, signal) };
     }
-
-    pub fn has_ended(&mut self) -> bool {
-        self.child.try_wait().is_ok_and(|status| status.is_some())
-    }
-
-    /// Starts the process again after it has ended.
-    pub fn restart(&mut self) {
-        let _ = self.child.wait();
-        self.child = spawn(&self.program, &self.file, &self.log);
-    }
 }
 
 impl Drop for Process {
@@ -263,9 +248,6 @@
         Process {
             name: name.to_owned(),
             child,
-            file,
-            program,
-            log,
         }
     }
 
@@ -328,11 +310,6 @@
             }
         })
     }
-
-    /// Content of the log of a process.
-    pub fn log_of(&self, name: &str) -> String {
-        fs::read_to_string(self.directory.join(format!("{name}.log"))).unwrap_or_default()
-    }
 }
 
 /// HTTP message: request that a stand-in received, or answer that it got.
@@ -357,10 +334,6 @@
         String::from_utf8_lossy(&self.body).into_owned()
     }
 
-    pub fn method(&self) -> &str {
-        self.start_line.split(' ').next().unwrap_or_default()
-    }
-
     pub fn path(&self) -> &str {
         self.start_line.split(' ').nth(1).unwrap_or_default()
     }
