gateway, policy: Send a copy beside a stalled answer instead of giving it up

Cause: a limit on the silence within a body (max_silence, at least 1 s) took a pause for the end of the server and ended the copy.

Silence ends no answer any more. Reception records the progress of an answer; one that has begun and of which nothing arrives for the same time counts as stalled, and permits a copy at another server beside it (HedgeQuery::stalled), whatever the load, within max-attempts and the retry budget. The first whole answer is delivered. If a copy fails, the first one goes on and may be followed by another one when it stalls.

--- a/crates/bench/src/dispatch.rs
+++ b/crates/bench/src/dispatch.rs
@@ -245,6 +245,7 @@
             in_flight: self.service_in_flight(service),
             slots: self.fleet.services[service].total_slots(),
             other_server_free: !choice.over_slots,
+            stalled: false,
         };
         let state = &mut self.entries[instance].services[service];
         let class = &state.hedges[kind.index()];
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -256,6 +256,7 @@
             in_flight: 0,
             slots: 0,
             other_server_free: true,
+            stalled: false,
         };
         let request = self.acquire_request(tried, attempts + 1);
         let Some(hedge) = self.service.hedge(request, query).await else {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer_check::check_answer;
+use crate::answer_progress::AnswerProgress;
 use crate::attempt_record::AttemptRecord;
 use crate::backend_connection::{
     BackendAnswer, BackendConnection, ConnectFailure, Reception, SendOutcome,
@@ -33,10 +34,6 @@
 /// Remaining time below which no further attempt is made.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(15);
 
-/// Minimum time without a byte of a body after which an answer counts as cut. TCP sends lost data again after up to a
-/// second.
-const MIN_BODY_SILENCE: Duration = Duration::from_secs(1);
-
 /// Outcome of a request after all attempts.
 pub struct RequestOutcome {
     /// Answer of a backend server, or the refusal for the caller.
@@ -216,13 +213,6 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Time for which a server may be silent in the middle of a body. A request that cannot go to another server waits
-    /// until its deadline.
-    fn max_silence(&self, slow_after: Duration) -> Option<Duration> {
-        let limit = slow_after.max(MIN_BODY_SILENCE);
-        self.rule.idempotent.then_some(limit)
-    }
-
     fn fingerprint(&self) -> Fingerprint {
         self.request.fingerprint(&self.shared.headers)
     }
@@ -245,7 +235,12 @@
         tokio::spawn(async move { shared.check_crash(lost).await });
     }
 
-    pub(crate) async fn attempt(&self, mut chosen: ChosenServer) -> CopyEnd {
+    /// Sends one copy of the request and records the progress of its answer.
+    pub(crate) async fn attempt(
+        &self,
+        mut chosen: ChosenServer,
+        progress: &AnswerProgress,
+    ) -> CopyEnd {
         let started_at = Instant::now();
         let id = self.request.id(&self.shared.headers);
         chosen.connection = chosen
@@ -260,10 +255,10 @@
         };
         let (next, result, label, connection) = match chosen.connection.take() {
             Some(_) if !self.may_leave(&chosen) => not_sent("left_out", AttemptResult::Neutral),
-            Some(connection) => self.send(connection, &chosen).await,
+            Some(connection) => self.send(connection, &chosen, progress).await,
             None => match self.open(&chosen).await {
                 Ok(_) if !self.may_leave(&chosen) => not_sent("left_out", AttemptResult::Neutral),
-                Ok(connection) => self.send_first(connection, &chosen).await,
+                Ok(connection) => self.send_first(connection, &chosen, progress).await,
                 Err(_) => not_sent("not_connected", AttemptResult::NotConnected),
             },
         };
@@ -293,16 +288,26 @@
 
     /// Sends the request over a connection that was just opened, unless the server has said meanwhile that it wants no
     /// new requests.
-    async fn send_first(&self, connection: BackendConnection, chosen: &ChosenServer) -> AttemptEnd {
+    async fn send_first(
+        &self,
+        connection: BackendConnection,
+        chosen: &ChosenServer,
+        progress: &AnswerProgress,
+    ) -> AttemptEnd {
         if self.shared.no_new_requests(&chosen.server).is_none() {
-            return self.send(connection, chosen).await;
+            return self.send(connection, chosen, progress).await;
         }
         let (next, result, label, _) = not_sent("left_out", AttemptResult::Neutral);
         (next, result, label, Some(connection))
     }
 
     /// Sends the request over an open connection and classifies the result.
-    async fn send(&self, connection: BackendConnection, chosen: &ChosenServer) -> AttemptEnd {
+    async fn send(
+        &self,
+        connection: BackendConnection,
+        chosen: &ChosenServer,
+        progress: &AnswerProgress,
+    ) -> AttemptEnd {
         let server = &chosen.server;
         let request =
             self.request
@@ -310,8 +315,7 @@
         let started_at = Instant::now();
         let slow_after = self.shared.slow_after(&self.rule.name);
         let reception = Reception {
-            max_silence: self.max_silence(slow_after),
-            leaving: Some(&self.shared.headers.leaving),
+            progress: Some(progress),
             ..self.shared.reception()
         };
         let sending = connection.send(request, reception);
--- a/crates/gateway/src/attempt_record.rs
+++ b/crates/gateway/src/attempt_record.rs
@@ -23,12 +23,26 @@
     /// Why the server was selected; absent for a selection by requests in flight.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub placement: Option<PlacementRecord>,
+    /// Why this copy was sent beside another one; absent for a copy that was sent alone.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub hedge: Option<HedgeReason>,
     /// Result label, as in the metric of attempts.
     pub result: &'static str,
     /// Duration of the attempt in milliseconds.
     pub elapsed_ms: u64,
 }
 
+/// Why a further copy of a request was sent beside one in flight.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HedgeReason {
+    /// The answer was late.
+    Late,
+    /// The answer had begun, and nothing more of it arrived.
+    Stalled,
+}
+
 /// Why placement by expected work selected a server. Terms of the cost are in milliseconds of the request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 #[derive(Serialize)]
@@ -80,6 +94,7 @@
             in_flight: chosen.in_flight,
             reused: chosen.connection.is_some(),
             placement: PlacementRecord::of(&chosen.reason),
+            hedge: None,
             result: "",
             elapsed_ms: 0,
         }
--- a/crates/gateway/src/backend_connection.rs
+++ b/crates/gateway/src/backend_connection.rs
@@ -19,6 +19,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::answer_progress::AnswerProgress;
 use crate::answered_ids::AnsweredIds;
 
 /// Maximum time to open a connection. TCP retransmits a lost SYN only after a second, so waiting longer does not help.
@@ -61,8 +62,6 @@
     AnswerCrossed,
     /// The answer lacks the proof that it is that of a backend server.
     AnswerUnproven,
-    /// The server sent nothing for too long in the middle of the body.
-    AnswerSilent,
     /// The budget of bytes had no room for the answer.
     MemoryExhausted,
 }
@@ -87,38 +86,28 @@
     pub id_header: &'a HeaderName,
     /// Budget that the body counts against.
     pub budget: &'a ByteBudget,
-    /// Time without a byte of the body after which the answer counts as cut.
-    pub max_silence: Option<Duration>,
-    /// Header of a server that is leaving, which may be silent for as long as it needs.
-    pub leaving: Option<&'a HeaderName>,
+    /// Where the progress of the answer is recorded.
+    pub progress: Option<&'a AnswerProgress>,
 }
 
 impl<'a> Reception<'a> {
-    /// Receives an answer without a limit on the silence of the server.
+    /// Receives an answer whose progress nobody observes.
     #[must_use]
     pub const fn new(id_header: &'a HeaderName, budget: &'a ByteBudget) -> Self {
         Self {
             id_header,
             budget,
-            max_silence: None,
-            leaving: None,
+            progress: None,
         }
     }
 
-    /// Reads the next part of a body.
-    async fn next_frame(
-        &self,
-        body: &mut Incoming,
-        max_silence: Option<Duration>,
-    ) -> Result<Option<Frame<Bytes>>, SendFailure> {
-        let next = body.frame();
-        let frame = match max_silence {
-            Some(limit) => timeout(limit, next)
-                .await
-                .map_err(|_| SendFailure::AnswerSilent)?,
-            None => next.await,
-        };
-        frame.transpose().map_err(|error| {
+    /// Reads the next part of a body. Silence of the server doesn't end the answer: only its connection shows that the rest
+    /// won't arrive.
+    async fn next_frame(&self, body: &mut Incoming) -> Result<Option<Frame<Bytes>>, SendFailure> {
+        if let Some(progress) = self.progress {
+            progress.record_part();
+        }
+        body.frame().await.transpose().map_err(|error| {
             if http_errors::is_connection_end(&error) {
                 SendFailure::AnswerCut
             } else {
@@ -348,16 +337,12 @@
     if !http_headers::is_final_status(parts.status) {
         return Err(SendFailure::AnswerInvalid);
     }
-    let is_leaving = |name| parts.headers.contains_key(name);
-    let max_silence = reception
-        .max_silence
-        .filter(|_| !reception.leaving.is_some_and(is_leaving));
     // A server that sends without end is at fault, not the budget.
     let max_bytes = (reception.budget.limit_bytes() / 2).min(MAX_ANSWER_BYTES);
     let mut collected = BytesMut::new();
     let mut held = reception.budget.reserve(ByteUse::Receiving);
     head_limit.apply();
-    while let Some(frame) = reception.next_frame(&mut body, max_silence).await? {
+    while let Some(frame) = reception.next_frame(&mut body).await? {
         head_limit.apply();
         let Ok(data) = frame.into_data() else {
             continue;
--- a/crates/gateway/src/classification.rs
+++ b/crates/gateway/src/classification.rs
@@ -83,7 +83,6 @@
             SendFailure::AnswerInvalid => "answer_invalid",
             SendFailure::AnswerCrossed => "answer_crossed",
             SendFailure::AnswerUnproven => "answer_unproven",
-            SendFailure::AnswerSilent => "answer_silent",
             SendFailure::MemoryExhausted => "memory_exhausted",
         };
         let next = if self.rule.idempotent {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission_queue;
 pub mod answer_check;
+pub mod answer_progress;
 mod answered_ids;
 pub mod attempt;
 pub mod attempt_record;
--- a/crates/gateway/src/next_step.rs
+++ b/crates/gateway/src/next_step.rs
@@ -20,6 +20,19 @@
 }
 
 impl NextStep {
+    /// Whether the attempt ended with an answer for the caller.
+    pub(crate) const fn is_answer(&self) -> bool {
+        matches!(self, Self::Finish(Ok(_)))
+    }
+
+    /// Next step after this one and those of copies that failed before.
+    pub(crate) fn after(failed: Option<Self>, newer: Self) -> Self {
+        match failed {
+            Some(failed) => failed.followed_by(newer),
+            None => newer,
+        }
+    }
+
     /// Next step after two copies of a request of which neither was answered with success; `newer` ended later.
     pub(crate) fn followed_by(self, newer: Self) -> Self {
         match (self, newer) {
--- a/crates/policy/src/hedge.rs
+++ b/crates/policy/src/hedge.rs
@@ -28,6 +28,17 @@
 /// Ratio of the median to its long-term value above which a tail is attributed to load.
 pub const MAX_MEDIAN_SHIFT: f64 = 1.5;
 
+/// Minimum time without a byte of an answer that has begun after which it counts as stalled. TCP sends lost data again after
+/// up to a second.
+pub const MIN_STALL_LIMIT: Duration = Duration::from_secs(1);
+
+/// Time without a byte of an answer that has begun after which it counts as stalled; `slow_after` is the time after which an
+/// unanswered request counts against its server. The server may still be at work, so the answer is not given up.
+#[must_use]
+pub fn stall_limit(slow_after: Duration) -> Duration {
+    slow_after.max(MIN_STALL_LIMIT)
+}
+
 /// Number of service times that a class needs before its tail is known.
 pub const MIN_SAMPLES: u64 = 50;
 
@@ -84,6 +95,8 @@
     pub slots: u32,
     /// Whether a server that the request has not tried has a free slot.
     pub other_server_free: bool,
+    /// Whether an answer has begun and nothing more of it has arrived for [`stall_limit`].
+    pub stalled: bool,
 }
 
 /// Service times of one request class at one entry instance, and its hedge decisions.
@@ -163,7 +176,8 @@
             .map_err(NoHedge::Budget)
     }
 
-    /// Checks every rule but the budget.
+    /// Checks every rule but the budget. Load does not explain a stalled answer, so its second copy need not wait for a free
+    /// slot.
     ///
     /// # Errors
     ///
@@ -177,12 +191,15 @@
         let median = median_us.map_or(Duration::ZERO, |median| {
             Duration::from_secs_f64(median / 1e6)
         });
-        if query.elapsed < delay {
+        if query.elapsed < delay && !query.stalled {
             return Err(NoHedge::TooEarly);
         }
         if query.remaining < median {
             return Err(NoHedge::DeadlineTooShort);
         }
+        if query.stalled {
+            return Ok(());
+        }
         if self.is_tail_caused_by_load(query, median) {
             return Err(NoHedge::TailCausedByLoad);
         }
@@ -261,7 +278,8 @@
 }
 
 /// Checks every rule but the budget for a request whose expected cost is known. A server that has been without an answer for
-/// [`SILENCE_FACTOR`] delays is silent; load does not explain that, so the second copy need not wait for a free slot.
+/// [`SILENCE_FACTOR`] delays is silent; load does not explain that or a stalled answer, so the second copy need not wait for
+/// a free slot.
 ///
 /// # Errors
 ///
@@ -271,13 +289,13 @@
         return Err(NoHedge::NotIdempotent);
     }
     let delay = kind_delay(cost, query.objective.unwrap_or(query.remaining));
-    if query.elapsed < delay {
+    if query.elapsed < delay && !query.stalled {
         return Err(NoHedge::TooEarly);
     }
     if query.remaining < cost.mean {
         return Err(NoHedge::DeadlineTooShort);
     }
-    if query.elapsed >= delay * SILENCE_FACTOR {
+    if query.stalled || query.elapsed >= delay * SILENCE_FACTOR {
         return Ok(());
     }
     if f64::from(query.in_flight) > f64::from(query.slots) * MAX_UTILISATION {
--- a/crates/policy/tests/hedge.rs
+++ b/crates/policy/tests/hedge.rs
@@ -42,6 +42,7 @@
         in_flight: 5,
         slots: 18,
         other_server_free: true,
+        stalled: false,
     }
 }
 
@@ -257,6 +258,36 @@
     assert_eq!(check_kind(&known, &late_look_up(2_000)), Ok(()));
 }
 
+/// Guards against an idempotent request that waits for the rest of a stalled answer because its delay has not passed or load
+/// forbids a second copy, and against copies of other requests.
+#[test]
+fn a_stalled_answer_waits_for_its_deadline() {
+    let stalled = |idempotent, remaining| HedgeQuery {
+        idempotent,
+        remaining,
+        elapsed: ms(10),
+        in_flight: 18,
+        other_server_free: false,
+        stalled: true,
+        ..query()
+    };
+    let class = class([50; 100]);
+    let known = look_up(Some(ms(0)));
+
+    let permitted = [
+        class.check(&stalled(true, ms(1_000))),
+        check_kind(&known, &stalled(true, ms(1_000))),
+    ];
+
+    assert_eq!(permitted, [Ok(()); 2]);
+    let too_short = Err(NoHedge::DeadlineTooShort);
+    assert_eq!(class.check(&stalled(true, ms(20))), too_short);
+    assert_eq!(check_kind(&known, &stalled(true, ms(20))), too_short);
+    let action = Err(NoHedge::NotIdempotent);
+    assert_eq!(class.check(&stalled(false, ms(1_000))), action);
+    assert_eq!(check_kind(&known, &stalled(false, ms(1_000))), action);
+}
+
 /// Guards against an idempotent request that waits for its deadline at a silent server, because load forbade a second copy
 /// at the first check.
 #[test]
