entry: Let the copy at work go on when another server refuses the second copy

A lookup at the entry proxy was hedged, the second server shed the copy, and the first copy was cancelled while its server was at work; the request then ran a second time there, or failed when no retry was left.

Cause: first_answered took any response for the end of the race, also a shed request or a server error, which the request is repeated after. The gateway waits for the other copy in this case.

A response ends the race only if no other attempt could serve the request. Otherwise the other copy decides; a server error is kept if that one has no better end.

--- a/crates/e2e/src/matrix_reports.rs
+++ b/crates/e2e/src/matrix_reports.rs
@@ -287,6 +287,8 @@
             "platform/tests/silent_servers.rs::work_at_a_silent_server_is_given_up_or_started_again",
             "platform/tests/silent_servers.rs::work_at_a_draining_server_is_given_up_or_started_again",
             "platform/tests/silent_servers.rs::a_late_answer_is_discarded_after_a_second_copy",
+            "platform/tests/silent_servers.rs::answers_of_servers_that_pause_are_given_up",
+            "platform/tests/silent_servers.rs::answers_of_servers_that_pause_are_given_up_in_a_planned_stop",
         ],
         reason: "",
     },
@@ -296,6 +298,7 @@
         place: "requests in progress at a server that is no longer chosen",
         tests: &[
             "crates/e2e/tests/link_faults.rs::reset_before_the_response_never_repeats_an_action",
+            "crates/e2e/tests/backend_faults.rs::a_shed_second_copy_ends_the_first_one_at_work",
         ],
         reason: "announcements are read only when a server is chosen: an attempt ends with its answer, its connection or its deadline (`crates/entry/src/attempts.rs`), and an action whose outcome is unknown is not sent again; silence alone is not tested",
     },
--- a/crates/e2e/tests/backend_faults.rs
+++ b/crates/e2e/tests/backend_faults.rs
@@ -402,3 +402,42 @@
     assert!(failed.is_empty(), "{failed:#?}");
     scenario.assert_guarantees();
 }
+
+/// Guards against a request whose copy at work is given up because another server sheds its second copy.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_shed_second_copy_ends_the_first_one_at_work() {
+    let plan = FleetPlan {
+        backends: 2,
+        service_time_ms: 40.0,
+        ..FleetPlan::default()
+    };
+    let scenario = Scenario::start(plan).await.unwrap();
+    let caller = Arc::new(scenario.caller(&[0], 1));
+    for _ in 0..60 {
+        let told = caller.perform(&lookup(&unique_id("known"))).await;
+        assert!(is_success(&told), "{told:?}");
+    }
+    scenario.set_faults_on_all_backends(&FaultPlan {
+        extra_delay_ms: 1_200,
+        ..FaultPlan::default()
+    });
+
+    let id = unique_id("hedged");
+    let operations = vec![lookup(&id)];
+    let request = tokio::spawn(perform_all(caller, operations));
+    let is_at = |backend: usize| scenario.backend(backend).status().in_flight > 0;
+    while !is_at(0) && !is_at(1) {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let other = usize::from(is_at(0));
+    scenario.backend(other).set_faults(FaultPlan {
+        shed_share: 1.0,
+        ..FaultPlan::default()
+    });
+    let told = request.await.unwrap();
+
+    assert!(told.iter().all(is_success), "{told:?}");
+    assert_eq!(scenario.backend(other).status().shed, 1, "no second copy");
+    assert_eq!(scenario.executions(&id), 1);
+    scenario.assert_guarantees();
+}
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -271,15 +271,28 @@
         }
     }
 
-    /// Returns `result` if it is a complete response, else waits for the other attempt.
+    /// Returns `result` if it ends the request, else waits for the other attempt, whose server may be at work.
     async fn first_answered(
         &self,
         result: AttemptResult,
         other: impl Future<Output = AttemptResult>,
     ) -> AttemptResult {
-        match result.outcome {
-            AttemptOutcome::Answered(_) => result,
-            _ => other.await,
+        if self.ends_request(&result.outcome) {
+            return result;
+        }
+        let other = other.await;
+        if !self.ends_request(&other.outcome) && is_server_error(&result.outcome) {
+            return result;
+        }
+        other
+    }
+
+    /// Whether an attempt ended with a response after which no other attempt could serve the request.
+    fn ends_request(&self, outcome: &AttemptOutcome) -> bool {
+        match outcome {
+            AttemptOutcome::Answered(response) if is_shed(response) => false,
+            AttemptOutcome::Answered(_) => !self.idempotent || !is_server_error(outcome),
+            AttemptOutcome::NotSent(_) | AttemptOutcome::Unknown(_) => false,
         }
     }
 
@@ -347,7 +360,7 @@
                 }))
             }
             AttemptOutcome::Answered(response)
-                if self.idempotent && response.status.as_u16() >= 500 =>
+                if self.idempotent && response.status.is_server_error() =>
             {
                 Err(Box::new(RetryableFailure {
                     fault: AttemptFault::ServerError,
@@ -398,6 +411,16 @@
     }
 }
 
+/// Whether the server ran the request and answered with an error of its own.
+fn is_server_error(outcome: &AttemptOutcome) -> bool {
+    match outcome {
+        AttemptOutcome::Answered(response) => {
+            response.status.is_server_error() && !is_shed(response)
+        }
+        AttemptOutcome::NotSent(_) | AttemptOutcome::Unknown(_) => false,
+    }
+}
+
 fn is_shed(response: &BackendResponse) -> bool {
     response.status == StatusCode::SERVICE_UNAVAILABLE && response.headers.contains_key(SHED_HEADER)
 }
