gateway, policy: Count an answer for every start that may have given it

Cause: the server had crashed and started again behind a cut from the coordinators. Its answer was filed under the start that the gateway had chosen from the announcements, which had ended; the announcement of the start that had spoken then made it a server to use.

An answer comes from the process that accepted the connection: the announced start, or a later one that began before the connection was opened. The intake table now takes this range (AnswerSource) for leaving and pauses, also from relayed answers. Starts are on the clock of the server, so for starts that weren't announced it counts for 30 s; a start after the opening gets requests at once. The log line backend_server_leaving states the range.

--- a/crates/entry/src/server_intake.rs
+++ b/crates/entry/src/server_intake.rs
@@ -105,7 +105,7 @@
         }
         if signals.leaving && self.table.record_leaving(&incarnation, now) {
             changed = true;
-            self.leave_out(server);
+            self.leave_out(server, now);
             self.log("server_leaving", server, json!({"header": "X-Leaving"}));
         }
         self.update_next_pause_end(now);
@@ -134,7 +134,7 @@
         let Some(change) = change else {
             return;
         };
-        self.leave_out(server);
+        self.leave_out(server, now);
         // Only the begin is logged: requests that were in flight extend the pause with each response.
         if let PauseChange::Begun { ends_at } = change {
             let detail = json!({
@@ -205,13 +205,13 @@
         }
     }
 
-    fn leave_out(&mut self, server: &Arc<BackendInfo>) {
+    fn leave_out(&mut self, server: &Arc<BackendInfo>, now: Duration) {
         // Servers whose names never return would accumulate.
         if self.left_out.len() >= MAX_SERVERS {
             let table = &self.table;
             self.left_out.retain(|_, server| {
                 let name = server.backend_server.as_str();
-                !table.is_leaving(name, server.incarnation.0)
+                !table.is_leaving(name, server.incarnation.0, now)
             });
         }
         let known = self.left_out.entry(server.key);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,7 +8,7 @@
 use radishpaddle_kernel::boot_clock;
 use radishpaddle_model::{Fingerprint, RoutingRule, ServerIncarnation};
 use radishpaddle_policy::placement::{PlacedWork, RequestTerms};
-use radishpaddle_policy::{Observation, RequestKind, Urgency};
+use radishpaddle_policy::{AnswerSource, Observation, RequestKind, Urgency};
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer_check::check_answer;
@@ -318,6 +318,7 @@
             progress: Some(progress),
             ..self.shared.reception()
         };
+        let source = AnswerSource::of_connection(server.clone(), connection.opened_at_ms());
         let sending = connection.send(request, reception);
         tokio::pin!(sending);
         let slow_at = (started_at + slow_after).min(self.deadline);
@@ -333,7 +334,7 @@
         let headers = &self.shared.headers;
         match sent.map(|outcome| check_answer(outcome, headers)) {
             Some(SendOutcome::Answered(mut answer, connection)) => {
-                let stated = self.shared.record_intake(server, &answer);
+                let stated = self.shared.record_intake(&source, &answer);
                 self.name_server(&mut answer, server);
                 if answer.status.is_success() {
                     self.record_times(chosen, &answer, started_at.elapsed(), overdue);
--- a/crates/gateway/src/backend_connection.rs
+++ b/crates/gateway/src/backend_connection.rs
@@ -13,6 +13,7 @@
 use hyper::header::{CONNECTION, CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use radishpaddle_kernel::incarnation::unix_ms;
 use radishpaddle_kernel::{HeadLimit, http_errors, http_headers};
 use radishpaddle_policy::{ByteBudget, ByteUse, HeldBytes};
 use tokio::net::TcpStream;
@@ -123,6 +124,7 @@
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     idle_since: Instant,
+    opened_at_ms: u64,
     answers: Box<AnswerState>,
 }
 
@@ -176,6 +178,7 @@
             sender,
             task: task.abort_handle(),
             idle_since: Instant::now(),
+            opened_at_ms: unix_ms(),
             answers: Box::new(AnswerState {
                 idle_limit: DEFAULT_IDLE_LIMIT,
                 answered_ids: AnsweredIds::default(),
@@ -196,6 +199,12 @@
         self.sender.is_ready() && self.idle_since.elapsed() <= limit
     }
 
+    /// Wall clock time in Unix milliseconds at which the connection was opened. The process that accepted it started before.
+    #[must_use]
+    pub const fn opened_at_ms(&self) -> u64 {
+        self.opened_at_ms
+    }
+
     /// Whether the answer to a request with this id can be told from late copies of the answers that the connection has
     /// carried. Callers may send a request again with the same id; one without id needs a new connection.
     #[must_use]
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -411,7 +411,7 @@
     }
 
     pub(crate) fn store_idle(&self, server: &ServerIncarnation, connection: BackendConnection) {
-        lock(&self.pools).store_idle(server, connection);
+        lock(&self.pools).store_idle(server, connection, boot_clock::now());
     }
 
     /// Replaces the gateways to which requests may be relayed.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -491,7 +491,7 @@
         known.record_result(result, now);
         let service = Arc::clone(&known.presence.service);
         if let Some(connection) = connection {
-            self.store_idle(server, connection);
+            self.store_idle(server, connection, now);
         }
         match result {
             AttemptResult::Succeeded => self.outcomes.count(&service, 1.0, 0.0, now),
@@ -516,8 +516,15 @@
     }
 
     /// Stores a connection for reuse, or closes it when the server is leaving or its incarnation is not the known one.
-    pub fn store_idle(&mut self, server: &ServerIncarnation, connection: BackendConnection) {
-        let is_leaving = self.intakes.is_leaving(&server.name, server.started_at_ms);
+    pub fn store_idle(
+        &mut self,
+        server: &ServerIncarnation,
+        connection: BackendConnection,
+        now: Duration,
+    ) {
+        let is_leaving = self
+            .intakes
+            .is_leaving(&server.name, server.started_at_ms, now);
         if let Some(known) = self.incarnation_mut(server).filter(|_| !is_leaving) {
             known.store_idle(connection);
         }
@@ -548,7 +555,7 @@
         (known.presence.started_at_ms == server.started_at_ms).then_some(known)
     }
 
-    fn server_mut(&mut self, id: &str) -> Option<&mut Server> {
+    pub(crate) fn server_mut(&mut self, id: &str) -> Option<&mut Server> {
         let service = self.service_of.get(id)?;
         self.services.get_mut(service)?.get_mut(id)
     }
--- a/crates/gateway/src/pool_intake.rs
+++ b/crates/gateway/src/pool_intake.rs
@@ -1,17 +1,23 @@
 //! Which backend servers take no new requests, because they are leaving or have asked for a pause.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use radishpaddle_model::ServerIncarnation;
-use radishpaddle_policy::{NoNewRequests, PauseChange, RetryAfter};
+use radishpaddle_policy::{AnswerSource, NoNewRequests, PauseChange, RetryAfter};
 
 use crate::pool::Pools;
 
 impl Pools {
     /// Records that a server said that it is leaving, and closes its idle connections. Returns whether that is new.
-    pub fn record_leaving(&mut self, server: &ServerIncarnation, now: Duration) -> bool {
-        let is_new = self.intakes.record_leaving(server, now);
-        if is_new && let Some(known) = self.incarnation_mut(server) {
+    pub fn record_leaving(&mut self, source: impl Into<AnswerSource>, now: Duration) -> bool {
+        let source = source.into();
+        let name = Arc::clone(&source.earliest.name);
+        let is_new = self.intakes.record_leaving(source, now);
+        if let Some(known) = self.server_mut(&name).map(|known| known.incarnation())
+            && self.intakes.is_leaving(&name, known.started_at_ms, now)
+            && let Some(known) = self.incarnation_mut(&known)
+        {
             known.idle.clear();
         }
         is_new
@@ -20,12 +26,12 @@
     /// Records that a server asked for a pause. Returns `None` when nothing changes.
     pub fn record_pause(
         &mut self,
-        server: &ServerIncarnation,
+        source: impl Into<AnswerSource>,
         pause: RetryAfter,
         now: Duration,
     ) -> Option<PauseChange> {
         let random = self.random();
-        self.intakes.record_pause(server, pause, random, now)
+        self.intakes.record_pause(source, pause, random, now)
     }
 
     /// Why a server gets no new requests because of its answers; `None` when it gets some.
--- a/crates/gateway/src/server_intake.rs
+++ b/crates/gateway/src/server_intake.rs
@@ -4,8 +4,10 @@
 
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, HeaderValue};
+use radishpaddle_kernel::incarnation::unix_ms;
 use radishpaddle_kernel::{LogSampling, boot_clock};
 use radishpaddle_model::ServerIncarnation;
+use radishpaddle_policy::AnswerSource;
 use radishpaddle_policy::intake::{NoNewRequests, PauseChange, RetryAfter, spread_retry_after};
 use serde_json::json;
 
@@ -59,16 +61,16 @@
     /// Records what an answer of a server said about new requests.
     pub(crate) fn record_intake(
         &self,
-        server: &ServerIncarnation,
+        source: &AnswerSource,
         answer: &BackendAnswer,
     ) -> StatedIntake {
         let stated = StatedIntake::of(answer.status, &answer.headers, &self.headers);
         self.metrics.retry_after_ignored.inc_by(stated.ignored);
         if stated.leaving {
-            self.record_leaving(server, "answer");
+            self.record_leaving(source, "answer");
         }
         if let Some(pause) = stated.pause {
-            self.record_pause(server, pause);
+            self.record_pause(source, pause);
         }
         stated
     }
@@ -81,23 +83,32 @@
         if let Some(server) = server
             && is_leaving(&answer.headers, &self.headers)
         {
-            self.record_leaving(&server, "relayed_answer");
+            // The other gateway opened its connection to the server before the answer arrived here.
+            let source = AnswerSource::of_connection(server, unix_ms());
+            self.record_leaving(&source, "relayed_answer");
         }
     }
 
-    fn record_leaving(&self, server: &ServerIncarnation, source: &'static str) {
-        if !self.pools().record_leaving(server, boot_clock::now()) {
+    fn record_leaving(&self, source: &AnswerSource, received: &'static str) {
+        if !self
+            .pools()
+            .record_leaving(source.clone(), boot_clock::now())
+        {
             return;
         }
         self.metrics.leaving.inc();
-        self.log.record("backend_server_leaving", LogSampling::Each, || {
-            json!({"backend_server": server.name, "started_at_ms": server.started_at_ms, "source": source})
-        });
+        let server = &source.earliest;
+        self.log
+            .record("backend_server_leaving", LogSampling::Each, || {
+                json!({"backend_server": server.name, "started_at_ms": server.started_at_ms,
+                   "latest_start_ms": source.latest_start_ms, "source": received})
+            });
     }
 
-    fn record_pause(&self, server: &ServerIncarnation, pause: RetryAfter) {
+    fn record_pause(&self, source: &AnswerSource, pause: RetryAfter) {
         let now = boot_clock::now();
-        let change = self.pools().record_pause(server, pause, now);
+        let server = &source.earliest;
+        let change = self.pools().record_pause(source.clone(), pause, now);
         let (ends_at, sampling) = match change {
             Some(PauseChange::Begun { ends_at }) => {
                 self.metrics.pauses.inc();
--- a/crates/gateway/tests/intake/main.rs
+++ b/crates/gateway/tests/intake/main.rs
@@ -290,14 +290,14 @@
     let (before_restart, old_stream) = connect(&listener).await;
     let (kept, kept_stream) = connect(&listener).await;
 
-    pools.store_idle(&leaving, idle);
+    pools.store_idle(&leaving, idle, NOW);
     let chosen_before = pools.choose(SERVICE, true, true, &[server(2, 0).name], NOW);
     let chosen_before = chosen_before.unwrap();
-    pools.store_idle(&leaving, chosen_before.connection.unwrap());
+    pools.store_idle(&leaving, chosen_before.connection.unwrap(), NOW);
     pools.record_leaving(&leaving, NOW);
     pools.finish_attempt(&leaving, AttemptResult::Succeeded, Some(finished), NOW);
-    pools.store_idle(&server(2, 10), before_restart);
-    pools.store_idle(&server(2, 11), kept);
+    pools.store_idle(&server(2, 10), before_restart, NOW);
+    pools.store_idle(&server(2, 11), kept, NOW);
 
     assert!(is_closed(idle_stream).await, "idle");
     assert!(is_closed(finished_stream).await, "finished later");
--- a/crates/gateway/tests/isolated_gateway.rs
+++ b/crates/gateway/tests/isolated_gateway.rs
@@ -12,6 +12,7 @@
     RetryBudgetSettings, WarmupSettings,
 };
 use radishpaddle_kernel::DecisionLog;
+use radishpaddle_kernel::incarnation::unix_ms;
 use radishpaddle_model::{
     BackendState, CallerLimits, HostRoutes, RoutePart, RoutedService, RoutingConfig, RoutingRule,
     ServerPresence,
@@ -561,6 +562,10 @@
     let is_leaving = |text: &str| isolated.shared().is_leaving(&text.parse().unwrap());
     assert!(is_leaving("1/server-1"), "it may get requests");
     assert!(!is_leaving("9/another"), "the server named another one");
+    let announced_later = format!("{}/server-1", unix_ms() - 60_000);
+    assert!(is_leaving(&announced_later), "a start before the answer");
+    let started_later = format!("{}/server-1", unix_ms() + 60_000);
+    assert!(!is_leaving(&started_later), "a start after the answer");
 }
 
 /// Guards against a pause of a gateway that has not asked any server, and against a refusal of another gateway that counts
--- a/crates/policy/src/intake_table.rs
+++ b/crates/policy/src/intake_table.rs
@@ -1,5 +1,7 @@
 //! What backend servers said about new requests, by server and incarnation.
 //!
+//! An answer counts for all starts of its server that may have given it, see [`AnswerSource`].
+//!
 //! The table is separate from the list of known servers: a server that coordinators remove and announce again, or a list
 //! that was on its way, must not end what the server said itself.
 
@@ -7,13 +9,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use radishpaddle_model::ServerIncarnation;
-
+use crate::answer_source::AnswerSource;
 use crate::intake::{Intake, NoNewRequests, PauseChange, RetryAfter, extended_pause};
 
 /// Maximum number of servers in the table, which bounds its memory to about 2 MB. Servers that left stay in it.
 pub const MAX_SERVERS: usize = 16_384;
 
+/// Time for which an answer counts for starts that were announced later. By then a server that was leaving has ended, and
+/// one that was not has been kept out long enough for a difference between the clocks of two machines.
+pub const UNANNOUNCED_START_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// State of all servers that asked for a pause or are leaving.
 #[derive(Debug, Default)]
 pub struct IntakeTable {
@@ -23,8 +28,10 @@
 /// State of the incarnations with one server name.
 #[derive(Debug, Default)]
 struct Entry {
-    /// Newest incarnation that asked for a pause or said that it is leaving.
+    /// Newest incarnation that is known to have asked for a pause or said that it is leaving.
     started_at_ms: u64,
+    /// Latest incarnation that may have said so instead.
+    latest_start_ms: u64,
     intake: Intake,
     /// Newest incarnation before it that is leaving. A coordinator that fell behind may announce that one again.
     left_before: Option<u64>,
@@ -35,6 +42,7 @@
     fn new(started_at_ms: u64) -> Self {
         Self {
             started_at_ms,
+            latest_start_ms: started_at_ms,
             ..Self::default()
         }
     }
@@ -48,31 +56,42 @@
             self.left_before = Some(self.started_at_ms);
         }
         self.started_at_ms = started_at_ms;
+        self.latest_start_ms = started_at_ms;
         self.intake = Intake::default();
     }
 
-    /// Why an incarnation gets no new requests. Requests for an earlier one than the newest would reach the newest.
+    /// Whether what was said counts for an incarnation. Requests for an earlier one than the newest would reach the newest.
+    fn covers(&self, started_at_ms: u64, now: Duration) -> bool {
+        let may_have_answered = started_at_ms <= self.latest_start_ms
+            && now.saturating_sub(self.changed_at) < UNANNOUNCED_START_TIMEOUT;
+        started_at_ms <= self.started_at_ms || may_have_answered
+    }
+
+    /// Why an incarnation gets no new requests.
     fn refusal(&self, started_at_ms: u64, now: Duration) -> Option<NoNewRequests> {
         let has_left = self.left_before.is_some_and(|left| started_at_ms <= left);
         if has_left {
             return Some(NoNewRequests::Leaving);
         }
-        let is_covered = started_at_ms <= self.started_at_ms;
-        self.intake.refusal(now).filter(|_| is_covered)
+        let refusal = self.intake.refusal(now)?;
+        self.covers(started_at_ms, now).then_some(refusal)
     }
 }
 
 impl IntakeTable {
     /// Records that a server is leaving. Returns whether that is new.
-    pub fn record_leaving(&mut self, server: &ServerIncarnation, now: Duration) -> bool {
-        if self.is_leaving(&server.name, server.started_at_ms) {
-            return false;
-        }
-        let entry = self.entry(server, now);
-        if server.started_at_ms < entry.started_at_ms {
-            entry.left_before = Some(server.started_at_ms);
-            return true;
+    pub fn record_leaving(&mut self, source: impl Into<AnswerSource>, now: Duration) -> bool {
+        let source = source.into();
+        let server = &source.earliest;
+        let was_leaving = self.is_leaving(&server.name, server.started_at_ms, now);
+        let entry = self.entry(&source, now);
+        if source.latest_start_ms < entry.started_at_ms {
+            if !was_leaving {
+                entry.left_before = Some(server.started_at_ms);
+            }
+            return !was_leaving;
         }
+        entry.latest_start_ms = entry.latest_start_ms.max(source.latest_start_ms);
         entry.changed_at = now;
         entry.intake.record_leaving()
     }
@@ -81,15 +100,17 @@
     /// Returns `None` when nothing changes, also when a later incarnation has answered already.
     pub fn record_pause(
         &mut self,
-        server: &ServerIncarnation,
+        source: impl Into<AnswerSource>,
         pause: RetryAfter,
         random: f64,
         now: Duration,
     ) -> Option<PauseChange> {
-        let entry = self.entry(server, now);
-        if server.started_at_ms < entry.started_at_ms {
+        let source = source.into();
+        let entry = self.entry(&source, now);
+        if source.latest_start_ms < entry.started_at_ms {
             return None;
         }
+        entry.latest_start_ms = entry.latest_start_ms.max(source.latest_start_ms);
         entry.changed_at = now;
         entry
             .intake
@@ -104,10 +125,8 @@
 
     /// Whether an incarnation of a server is leaving.
     #[must_use]
-    pub fn is_leaving(&self, name: &str, started_at_ms: u64) -> bool {
-        // Leaving does not depend on the time.
-        let refusal = self.refusal(name, started_at_ms, Duration::ZERO);
-        refusal == Some(NoNewRequests::Leaving)
+    pub fn is_leaving(&self, name: &str, started_at_ms: u64, now: Duration) -> bool {
+        self.refusal(name, started_at_ms, now) == Some(NoNewRequests::Leaving)
     }
 
     /// Whether a pause of the server has ended and [`take_ended_pause`](Self::take_ended_pause) was not called since.
@@ -154,7 +173,8 @@
     }
 
     /// Returns the entry of a server, with the incarnation as the newest one unless a later one is known.
-    fn entry(&mut self, server: &ServerIncarnation, now: Duration) -> &mut Entry {
+    fn entry(&mut self, source: &AnswerSource, now: Duration) -> &mut Entry {
+        let server = &source.earliest;
         if self.entries.len() >= MAX_SERVERS && !self.entries.contains_key(&server.name) {
             self.evict(now);
         }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 mod alarm;
+mod answer_source;
 pub mod balancer;
 pub mod budget;
 pub mod byte_budget;
@@ -45,6 +46,7 @@
 pub mod verdict;
 pub mod warmup;
 
+pub use answer_source::AnswerSource;
 pub use balancer::{Balancer, Member, Pick, PickRequest, subset_size};
 pub use byte_budget::{ByteBudget, ByteUse, HeldBytes, LinkPace};
 pub use cost::{CostEstimate, CostModel, Observation, RequestKind};
--- a/crates/policy/tests/intake.rs
+++ b/crates/policy/tests/intake.rs
@@ -7,8 +7,10 @@
 use radishpaddle_policy::intake::{
     MAX_PAUSE, MAX_RESUME_SPREAD, extended_pause, spread_retry_after,
 };
-use radishpaddle_policy::intake_table::MAX_SERVERS;
-use radishpaddle_policy::{Intake, IntakeTable, NoNewRequests, PauseChange, RetryAfter};
+use radishpaddle_policy::intake_table::{MAX_SERVERS, UNANNOUNCED_START_TIMEOUT};
+use radishpaddle_policy::{
+    AnswerSource, Intake, IntakeTable, NoNewRequests, PauseChange, RetryAfter,
+};
 
 const NOW: Duration = Duration::from_secs(1_000);
 
@@ -203,6 +205,64 @@
     assert!(!is_paused(&table, "a", 20, NOW + Duration::from_secs(5)));
 }
 
+/// Source of an answer to a request for the start 10 over a connection that was opened at this Unix millisecond.
+fn source(opened_at_ms: u64) -> AnswerSource {
+    AnswerSource::of_connection(server("a", 10), opened_at_ms)
+}
+
+/// Guards against an answer that is filed only under the start that its request was meant for, although a later one that is
+/// announced after the answer gave it, and against one that stops a start after its connection was opened.
+#[test]
+fn an_answer_concerns_the_starts_that_may_have_given_it() {
+    let mut leaving = IntakeTable::default();
+    let mut paused = IntakeTable::default();
+
+    assert!(leaving.record_leaving(source(50), NOW));
+    paused.record_pause(source(50), pause("5"), 0.0, NOW);
+
+    let starts = [10, 30, 50, 51];
+    let expected = [true, true, true, false];
+    assert_eq!(starts.map(|s| is_leaving(&leaving, "a", s)), expected);
+    assert_eq!(starts.map(|s| is_paused(&paused, "a", s, NOW)), expected);
+    assert!(!leaving.record_leaving(source(70), NOW));
+    assert!(
+        is_leaving(&leaving, "a", 70),
+        "the newer connection is ignored"
+    );
+}
+
+/// Guards against an answer over an old connection that stops the start which has answered since, and against one of that
+/// start over a new connection that doesn't, because its request was meant for the earlier one.
+#[test]
+fn an_answer_of_the_newest_start_is_filed_under_an_earlier_one() {
+    let mut table = IntakeTable::default();
+    table.record_pause(&server("a", 30), pause("5"), 0.0, NOW);
+
+    assert!(table.record_leaving(source(20), NOW));
+    let after_old = [10, 30].map(|start| is_leaving(&table, "a", start));
+    assert!(table.record_leaving(source(40), NOW));
+    let after_new = [10, 30, 41].map(|start| is_leaving(&table, "a", start));
+
+    assert_eq!(after_old, [true, false]);
+    assert_eq!(after_new, [true, true, false]);
+}
+
+/// Guards against a sound start that never gets requests, because the clocks of its machine and the gateway's differ.
+#[test]
+fn a_start_announced_later_stays_out_for_good() {
+    let mut table = IntakeTable::default();
+    let later = NOW + UNANNOUNCED_START_TIMEOUT;
+
+    table.record_leaving(source(50), NOW);
+
+    assert_eq!(table.refusal("a", 30, later), None);
+    assert_eq!(
+        table.refusal("a", 10, later),
+        Some(NoNewRequests::Leaving),
+        "the start that the request was meant for"
+    );
+}
+
 /// Guards against a pause of zero seconds that takes a server out of rotation for the random extension.
 #[test]
 fn a_pause_of_zero_seconds_is_none() {
