entry, gateway: Let servers state the run that responds

Its incarnations are numbers of the server's choice, so the opening of the connection doesn't tell which one answered.

A server may state its run in its responses, with X-Incarnation at the entry proxy and the header of headers.started_at at gateways (none by default). What the response says then counts for that run. The sample server states it; callers don't get the header.

--- a/crates/e2e/tests/server_signals.rs
+++ b/crates/e2e/tests/server_signals.rs
@@ -181,6 +181,7 @@
 
     assert_eq!(status, StatusCode::OK);
     assert!(!headers.contains_key("x-leaving"), "{headers:?}");
+    assert!(!headers.contains_key("x-incarnation"), "{headers:?}");
     assert_eq!(told, AttemptResult::NotRun { code: 2006 });
     assert!(
         started_at.elapsed() < IMMEDIATE,
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -23,7 +23,7 @@
 use crate::clock::Clock;
 use crate::forward::{API_KEY, ForwardRequest, ORGANISATION};
 use crate::poison_task::{DispatchPermission, Loss, LostRequest, PoisonHandle, TicketClient};
-use crate::server_intake::{LEAVING_HEADER, ServerSignals};
+use crate::server_intake::{INCARNATION_HEADER, LEAVING_HEADER, ServerSignals};
 use crate::service_handle::{AcquireRequest, Grant, NotRun, RetryDecision, ServiceHandle};
 
 /// Response header with which a backend server sheds a request, that is, refuses it without having
@@ -337,6 +337,7 @@
     fn caller_response(&self, mut response: BackendResponse) -> CallerResponse {
         http_headers::strip_response_headers(&mut response.headers, self.request.is_head());
         response.headers.remove(LEAVING_HEADER);
+        response.headers.remove(INCARNATION_HEADER);
         response.headers.remove(API_KEY);
         response.headers.remove(ORGANISATION);
         CallerResponse {
--- a/crates/entry/src/server_intake.rs
+++ b/crates/entry/src/server_intake.rs
@@ -8,7 +8,7 @@
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use radishpaddle_kernel::Journal;
-use radishpaddle_model::{BackendState, ServerIncarnation, ServiceId};
+use radishpaddle_model::{BackendState, Incarnation, ServerIncarnation, ServiceId};
 use radishpaddle_policy::intake_table::MAX_SERVERS;
 use radishpaddle_policy::{IntakeTable, NoNewRequests, PauseChange, RetryAfter, ServerKey};
 use serde_json::{Value, json};
@@ -20,6 +20,9 @@
 /// Response header with the value `1`, with which a backend server says that it leaves.
 pub const LEAVING_HEADER: HeaderName = HeaderName::from_static("x-leaving");
 
+/// Response header with which a backend server states its incarnation.
+pub const INCARNATION_HEADER: HeaderName = HeaderName::from_static("x-incarnation");
+
 /// What one response says about new requests.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ServerSignals {
@@ -29,6 +32,8 @@
     pub pause: Option<RetryAfter>,
     /// Number of values that are not a pause.
     pub invalid_pauses: u64,
+    /// Incarnation that spoke, if the response states it.
+    pub incarnation: Option<Incarnation>,
 }
 
 impl ServerSignals {
@@ -46,6 +51,7 @@
             leaving: leaving.any(|value| value.as_bytes() == b"1"),
             pause,
             invalid_pauses,
+            incarnation: stated_incarnation(headers),
         }
     }
 
@@ -96,17 +102,21 @@
             return false;
         }
         self.count(signals);
-        let incarnation = incarnation_of(server);
+        let speaker = ServerIncarnation {
+            name: server.backend_server.as_str().into(),
+            started_at_ms: signals.incarnation.unwrap_or(server.incarnation).0,
+        };
         let mut changed = false;
         if let Some(pause) = signals.pause {
-            let change = self.table.record_pause(&incarnation, pause, random, now);
+            let change = self.table.record_pause(&speaker, pause, random, now);
             changed |= change.is_some();
             self.record_pause_change(server, pause, change, now);
         }
-        if signals.leaving && self.table.record_leaving(&incarnation, now) {
+        if signals.leaving && self.table.record_leaving(&speaker, now) {
             changed = true;
             self.leave_out(server, now);
-            self.log("server_leaving", server, json!({"header": "X-Leaving"}));
+            let detail = json!({"header": "X-Leaving", "incarnation": speaker.started_at_ms});
+            self.log("server_leaving", server, detail);
         }
         self.update_next_pause_end(now);
         changed
@@ -206,6 +216,10 @@
     }
 
     fn leave_out(&mut self, server: &Arc<BackendInfo>, now: Duration) {
+        if self.refusal(server, now).is_none() {
+            // An earlier incarnation than the announced one spoke.
+            return;
+        }
         // Servers whose names never return would accumulate.
         if self.left_out.len() >= MAX_SERVERS {
             let table = &self.table;
@@ -267,9 +281,7 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn incarnation_of(server: &BackendInfo) -> ServerIncarnation {
-    ServerIncarnation {
-        name: server.backend_server.as_str().into(),
-        started_at_ms: server.incarnation.0,
-    }
+fn stated_incarnation(headers: &HeaderMap) -> Option<Incarnation> {
+    let stated = headers.get(INCARNATION_HEADER)?.to_str().ok()?;
+    stated.parse().ok().map(Incarnation)
 }
--- a/crates/entry/tests/server_intake.rs
+++ b/crates/entry/tests/server_intake.rs
@@ -11,7 +11,7 @@
 use radishpaddle_entry::backend_info::BackendInfo;
 use radishpaddle_entry::metrics::ServerSignalMetrics;
 use radishpaddle_entry::server_intake::{ServerIntake, ServerSignals};
-use radishpaddle_kernel::Journal;
+use radishpaddle_kernel::{Event as JournalEvent, Journal};
 use radishpaddle_model::{Announcement, BackendState, Incarnation};
 use radishpaddle_policy::RetryAfter;
 use radishpaddle_policy::intake::MAX_RESUME_SPREAD;
@@ -147,6 +147,33 @@
     assert_eq!(kinds, expected);
 }
 
+/// Guards against a response that is filed under the announced incarnation although another one states that it spoke.
+#[test]
+fn a_response_of_an_incarnation_that_is_announced_later_is_forgotten() {
+    let (mut intake, journal) = new_intake();
+    let now = Duration::from_secs(1);
+    let leaves = signals(200, &[("x-leaving", "1"), ("x-incarnation", "2")]);
+    let paused = [
+        ("x-shed", "1"),
+        ("retry-after", "5"),
+        ("x-incarnation", "2"),
+    ];
+
+    intake.record(&server(0, 1), leaves, 0.0, now);
+    intake.record(&server(1, 1), signals(503, &paused), 0.0, now);
+
+    for number in [0, 1] {
+        intake.announced(&server(number, 2), now);
+        let takes = [1, 2, 3].map(|start| intake.takes_requests(&server(number, start), now));
+        assert_eq!(takes, [false, false, true], "server {number}");
+    }
+    let returned = |event: &JournalEvent| &*event.kind == "server_returned";
+    assert!(!journal.since(0).iter().any(returned));
+    let late = signals(200, &[("x-leaving", "1"), ("x-incarnation", "2")]);
+    intake.record(&server(2, 3), late, 0.0, now);
+    assert!(intake.takes_requests(&server(2, 3), now), "the next one");
+}
+
 #[derive(Debug, Clone)]
 enum Event {
     /// A response of the newest incarnation, or of one before it.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -334,7 +334,7 @@
         let headers = &self.shared.headers;
         match sent.map(|outcome| check_answer(outcome, headers)) {
             Some(SendOutcome::Answered(mut answer, connection)) => {
-                let stated = self.shared.record_intake(&source, &answer);
+                let stated = self.shared.record_intake(source, &answer);
                 self.name_server(&mut answer, server);
                 if answer.status.is_success() {
                     self.record_times(chosen, &answer, started_at.elapsed(), overdue);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -37,6 +37,8 @@
     pub leaving: HeaderName,
     /// Time for which the backend server wants no requests.
     pub retry_after: HeaderName,
+    /// Start of the backend server in Unix milliseconds.
+    pub started_at: Option<HeaderName>,
     /// Proof that an answer is that of a backend server.
     pub proof: Option<HeaderName>,
 }
@@ -62,6 +64,7 @@
             served_by: name(&names.served_by)?,
             leaving: name(&names.leaving)?,
             retry_after: name(&names.retry_after)?,
+            started_at: names.started_at.as_ref().map(name).transpose()?,
             proof: names.proof.as_ref().map(name).transpose()?,
         })
     }
--- a/crates/gateway/src/server_intake.rs
+++ b/crates/gateway/src/server_intake.rs
@@ -52,6 +52,27 @@
     }
 }
 
+/// Source of an answer: the start that it states, or the one that is known from its connection.
+#[must_use]
+pub fn answer_source(
+    from_connection: AnswerSource,
+    headers: &HeaderMap,
+    names: &Headers,
+) -> AnswerSource {
+    match stated_start(headers, names) {
+        Some(started_at_ms) => AnswerSource::stated(ServerIncarnation {
+            started_at_ms,
+            ..from_connection.earliest
+        }),
+        None => from_connection,
+    }
+}
+
+fn stated_start(headers: &HeaderMap, names: &Headers) -> Option<u64> {
+    let name = names.started_at.as_ref()?;
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
 fn is_leaving(headers: &HeaderMap, names: &Headers) -> bool {
     let mut values = headers.get_all(&names.leaving).iter();
     values.any(|value| value.as_bytes() == LEAVING)
@@ -61,16 +82,17 @@
     /// Records what an answer of a server said about new requests.
     pub(crate) fn record_intake(
         &self,
-        source: &AnswerSource,
+        from_connection: AnswerSource,
         answer: &BackendAnswer,
     ) -> StatedIntake {
+        let source = answer_source(from_connection, &answer.headers, &self.headers);
         let stated = StatedIntake::of(answer.status, &answer.headers, &self.headers);
         self.metrics.retry_after_ignored.inc_by(stated.ignored);
         if stated.leaving {
-            self.record_leaving(source, "answer");
+            self.record_leaving(&source, "answer");
         }
         if let Some(pause) = stated.pause {
-            self.record_pause(source, pause);
+            self.record_pause(&source, pause);
         }
         stated
     }
@@ -85,6 +107,7 @@
         {
             // The other gateway opened its connection to the server before the answer arrived here.
             let source = AnswerSource::of_connection(server, unix_ms());
+            let source = answer_source(source, &answer.headers, &self.headers);
             self.record_leaving(&source, "relayed_answer");
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -148,6 +148,9 @@
     /// Seconds for which a backend server that answered 503 wants no requests.
     #[serde(default = "default_retry_after")]
     pub retry_after: Arc<str>,
+    /// Start of the backend server that answered in Unix milliseconds; absent where backend servers don't state it.
+    #[serde(default)]
+    pub started_at: Option<Arc<str>>,
     /// Proof that an answer is that of a backend server; absent where backend servers send none.
     #[serde(default)]
     pub proof: Option<Arc<str>>,
@@ -165,6 +168,7 @@
             served_by: default_served_by(),
             leaving: default_leaving(),
             retry_after: default_retry_after(),
+            started_at: None,
             proof: None,
         }
     }
--- a/crates/gateway/tests/intake/main.rs
+++ b/crates/gateway/tests/intake/main.rs
@@ -15,11 +15,11 @@
 use radishpaddle_gateway::left_out::LeftOut;
 use radishpaddle_gateway::pool::{ChosenServer, Pools};
 use radishpaddle_gateway::server::AttemptResult;
-use radishpaddle_gateway::server_intake::StatedIntake;
+use radishpaddle_gateway::server_intake::{StatedIntake, answer_source};
 use radishpaddle_gateway::settings::RetryBudgetSettings;
 use radishpaddle_model::{BackendState, ServerIncarnation, ServerPresence};
-use radishpaddle_policy::RetryAfter;
 use radishpaddle_policy::intake::MAX_RESUME_SPREAD;
+use radishpaddle_policy::{AnswerSource, RetryAfter};
 use radishpaddle_wire::ServerUpdate;
 
 use trial::Trial;
@@ -144,6 +144,30 @@
     assert!(is_available(&mut pools, &restarted, NOW));
 }
 
+/// Guards against an answer that is filed under the start that is known from its connection although it states another one.
+#[test]
+fn the_stated_start_is_ignored() {
+    let names = HeaderNames {
+        started_at: Some("x-started-at".into()),
+        ..HeaderNames::default()
+    };
+    let stating = Headers::parse(&names).unwrap();
+    let silent = Headers::parse(&HeaderNames::default()).unwrap();
+    let from_connection = || AnswerSource::of_connection(server(1, 10), 50);
+    let source_of = |text: &'static str, names| {
+        let name = HeaderName::from_static("x-started-at");
+        let headers = HeaderMap::from_iter([(name, HeaderValue::from_static(text))]);
+        answer_source(from_connection(), &headers, names)
+    };
+
+    assert_eq!(
+        source_of("40", &stating),
+        AnswerSource::stated(server(1, 40))
+    );
+    assert_eq!(source_of("later", &stating), from_connection());
+    assert_eq!(source_of("40", &silent), from_connection());
+}
+
 /// Time from a rejection with a pause until the server gets the next request, in a service without requests that can be
 /// retried. The server has answered late before with `was_slow`.
 fn time_until_next_request(pause: &str, was_slow: bool) -> Duration {
--- a/crates/testkit/src/backend/serve.rs
+++ b/crates/testkit/src/backend/serve.rs
@@ -37,6 +37,9 @@
 /// Header with the id of a request.
 const REQUEST_ID: &str = "x-request-id";
 
+/// Header with the incarnation that responds.
+const INCARNATION: &str = "x-incarnation";
+
 /// Time after the deadline at which a deliberately late response is sent.
 const LATE_RESPONSE_DELAY: Duration = Duration::from_millis(50);
 
@@ -152,8 +155,10 @@
         let delay = Duration::from_millis(delay_ms);
         shared.end_later(incarnation, delay, plan.restart_after_ms);
     }
+    let headers = response.headers_mut();
+    headers.insert(INCARNATION, incarnation.0.into());
     if let Some(id) = id {
-        response.headers_mut().insert(REQUEST_ID, id);
+        headers.insert(REQUEST_ID, id);
     }
     Ok(response)
 }
