gateway: Give the ends of attempts a type

An attempt ended as a tuple of four, and its result was compared as text to decide whether a crash is checked. AttemptEnd is a struct now, its label an enum (AttemptLabel); the texts in the decision log and the metric are the same. No behaviour changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,7 +21,7 @@
 use crate::forward::ForwardRequest;
 use crate::gateway::Shared;
 use crate::left_out::LeftOut;
-use crate::next_step::{AttemptEnd, NextStep, not_sent, preferred_outcome};
+use crate::next_step::{AttemptEnd, AttemptLabel, NextStep, preferred_outcome};
 use crate::pool::ChosenServer;
 use crate::relay::{Relay, RelayOutcome, RelayRecord};
 use crate::response::{CallerResponse, Refusal};
@@ -253,24 +253,29 @@
             work: chosen.work,
             finished: false,
         };
-        let (next, result, label, connection) = match chosen.connection.take() {
-            Some(_) if !self.may_leave(&chosen) => not_sent("left_out", AttemptResult::Neutral),
+        let end = match chosen.connection.take() {
+            Some(_) if !self.may_leave(&chosen) => left_out(),
             Some(connection) => self.send(connection, &chosen, progress).await,
             None => match self.open(&chosen).await {
-                Ok(_) if !self.may_leave(&chosen) => not_sent("left_out", AttemptResult::Neutral),
+                Ok(_) if !self.may_leave(&chosen) => left_out(),
                 Ok(connection) => self.send_first(connection, &chosen, progress).await,
-                Err(_) => not_sent("not_connected", AttemptResult::NotConnected),
+                Err(_) => {
+                    AttemptEnd::not_sent(AttemptLabel::NotConnected, AttemptResult::NotConnected)
+                }
             },
         };
-        in_flight.finish(result, connection);
-        match label {
-            "connection_lost" | "answer_cut" => self.check_crash(&chosen, started_at),
-            "answered" => self.shared.record_answer(|| self.fingerprint()),
+        in_flight.finish(end.result, end.connection);
+        match end.label {
+            AttemptLabel::ConnectionLost | AttemptLabel::AnswerCut => {
+                self.check_crash(&chosen, started_at);
+            }
+            AttemptLabel::Answered => self.shared.record_answer(|| self.fingerprint()),
             _ => (),
         }
+        let label = end.label.as_str();
         self.shared.metrics.record_attempt(&self.service, label);
-        record.end(label, started_at);
-        (next, record)
+        record.end(end.label, started_at);
+        (end.next, record)
     }
 
     async fn open(&self, chosen: &ChosenServer) -> Result<BackendConnection, ConnectFailure> {
@@ -297,8 +302,7 @@
         if self.shared.no_new_requests(&chosen.server).is_none() {
             return self.send(connection, chosen, progress).await;
         }
-        let (next, result, label, _) = not_sent("left_out", AttemptResult::Neutral);
-        (next, result, label, Some(connection))
+        left_out().with_connection(Some(connection))
     }
 
     /// Sends the request over an open connection and classifies the result.
@@ -343,7 +347,9 @@
                 let counted = overdue || stated.pause.is_some();
                 self.classify_answer(answer, connection, counted)
             }
-            Some(SendOutcome::NotSent) => not_sent("not_sent", AttemptResult::Neutral),
+            Some(SendOutcome::NotSent) => {
+                AttemptEnd::not_sent(AttemptLabel::NotSent, AttemptResult::Neutral)
+            }
             Some(SendOutcome::Unknown(failure)) => self.classify_failure(failure, overdue),
             None => {
                 let result = if overdue {
@@ -351,12 +357,8 @@
                 } else {
                     AttemptResult::Failed
                 };
-                (
-                    NextStep::Finish(Err(Refusal::TimedOut)),
-                    result,
-                    "timed_out",
-                    None,
-                )
+                let next = NextStep::Finish(Err(Refusal::TimedOut));
+                AttemptEnd::new(next, result, AttemptLabel::TimedOut)
             }
         }
     }
@@ -395,3 +397,8 @@
         }
     }
 }
+
+/// End of an attempt whose server said that it wants no new requests before the request was sent.
+const fn left_out() -> AttemptEnd {
+    AttemptEnd::not_sent(AttemptLabel::LeftOut, AttemptResult::Neutral)
+}
--- a/crates/gateway/src/attempt_record.rs
+++ b/crates/gateway/src/attempt_record.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
+use crate::next_step::AttemptLabel;
 use crate::pool::ChosenServer;
 
 /// Entry of one attempt in the decision log.
@@ -101,13 +102,13 @@
     }
 
     /// Ends the entry with a result label.
-    pub(crate) fn end(&mut self, result: &'static str, started_at: Instant) {
-        self.result = result;
+    pub(crate) fn end(&mut self, label: AttemptLabel, started_at: Instant) {
+        self.result = label.as_str();
         self.elapsed_ms = u64::try_from(started_at.elapsed().as_millis()).unwrap_or(u64::MAX);
     }
 
     /// Ends the entry of a copy that another copy of the request has overtaken.
     pub(crate) fn cancel(&mut self, started_at: Instant) {
-        self.end("overtaken", started_at);
+        self.end(AttemptLabel::Overtaken, started_at);
     }
 }
--- a/crates/gateway/src/classification.rs
+++ b/crates/gateway/src/classification.rs
@@ -5,7 +5,7 @@
 use crate::answer_check::promises_not_run;
 use crate::attempt::RequestPlan;
 use crate::backend_connection::{BackendAnswer, BackendConnection, SendFailure};
-use crate::next_step::{AttemptEnd, NextStep, refused_without_running};
+use crate::next_step::{AttemptEnd, AttemptLabel, NextStep, refused_without_running};
 use crate::response::{CallerResponse, Refusal};
 use crate::server::AttemptResult;
 
@@ -19,15 +19,12 @@
     ) -> AttemptEnd {
         if answer.status == StatusCode::MISDIRECTED_REQUEST {
             let next = refused_without_running();
-            return (next, AttemptResult::Misdirected, "moved", None);
+            return AttemptEnd::new(next, AttemptResult::Misdirected, AttemptLabel::Moved);
         }
         if answer.headers.contains_key(&self.shared.headers.not_run) {
-            return (
-                refused_without_running(),
-                AttemptResult::Shed,
-                "shed",
-                connection,
-            );
+            let next = refused_without_running();
+            return AttemptEnd::new(next, AttemptResult::Shed, AttemptLabel::Shed)
+                .with_connection(connection);
         }
         let promises_not_run = promises_not_run(answer.status);
         if !answer.status.is_server_error() && !promises_not_run {
@@ -36,12 +33,9 @@
             } else {
                 AttemptResult::Succeeded
             };
-            return (
-                NextStep::Finish(Ok(self.to_caller_response(answer))),
-                result,
-                "answered",
-                connection,
-            );
+            let next = NextStep::Finish(Ok(self.to_caller_response(answer)));
+            return AttemptEnd::new(next, result, AttemptLabel::Answered)
+                .with_connection(connection);
         }
         // A server that answers without the header for requests that were not run may have run it, so a status that
         // promises callers the contrary is not passed on.
@@ -62,14 +56,16 @@
         };
         // A client error says nothing about the health of the server.
         if !answer_is_server_error {
-            return (next, AttemptResult::Neutral, "unproven_refusal", connection);
+            let label = AttemptLabel::UnprovenRefusal;
+            return AttemptEnd::new(next, AttemptResult::Neutral, label)
+                .with_connection(connection);
         }
         let result = if counted {
             AttemptResult::Neutral
         } else {
             AttemptResult::Failed
         };
-        (next, result, "server_error", connection)
+        AttemptEnd::new(next, result, AttemptLabel::ServerError).with_connection(connection)
     }
 
     fn to_caller_response(&self, answer: BackendAnswer) -> CallerResponse {
@@ -77,14 +73,6 @@
     }
 
     pub(crate) fn classify_failure(&self, failure: SendFailure, overdue: bool) -> AttemptEnd {
-        let label = match failure {
-            SendFailure::ConnectionLost => "connection_lost",
-            SendFailure::AnswerCut => "answer_cut",
-            SendFailure::AnswerInvalid => "answer_invalid",
-            SendFailure::AnswerCrossed => "answer_crossed",
-            SendFailure::AnswerUnproven => "answer_unproven",
-            SendFailure::MemoryExhausted => "memory_exhausted",
-        };
         let next = if self.rule.idempotent {
             NextStep::TryAnother {
                 fallback: Err(Refusal::OutcomeUnknown),
@@ -100,6 +88,6 @@
         } else {
             AttemptResult::Failed
         };
-        (next, result, label, None)
+        AttemptEnd::new(next, result, AttemptLabel::from(failure))
     }
 }
--- a/crates/gateway/src/next_step.rs
+++ b/crates/gateway/src/next_step.rs
@@ -1,6 +1,6 @@
 //! What follows an attempt: the end of the request, or another attempt at another server.
 
-use crate::backend_connection::BackendConnection;
+use crate::backend_connection::{BackendConnection, SendFailure};
 use crate::response::{CallerResponse, Refusal};
 use crate::server::AttemptResult;
 
@@ -77,22 +77,104 @@
     }
 }
 
-/// Next step, result for the server's state, result label, and the connection if it can be reused.
-pub(crate) type AttemptEnd = (
-    NextStep,
-    AttemptResult,
-    &'static str,
-    Option<BackendConnection>,
-);
+/// How an attempt ended, as in the decision log and the metric of attempts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AttemptLabel {
+    Answered,
+    AnswerCrossed,
+    AnswerCut,
+    AnswerInvalid,
+    AnswerUnproven,
+    ConnectionLost,
+    /// The server said that it wants no new requests before the request was sent.
+    LeftOut,
+    MemoryExhausted,
+    /// The address belongs to another backend server now.
+    Moved,
+    NotConnected,
+    NotSent,
+    /// Another copy of the request was answered first.
+    Overtaken,
+    ServerError,
+    Shed,
+    TimedOut,
+    /// A status that promises that the request was not run, without the header that proves it.
+    UnprovenRefusal,
+}
 
-/// End of an attempt whose request did not leave this process.
-pub(crate) fn not_sent(label: &'static str, result: AttemptResult) -> AttemptEnd {
-    let next = NextStep::TryAnother {
-        fallback: Err(Refusal::NotRun),
-        arrived: false,
-        may_have_run: false,
-    };
-    (next, result, label, None)
+impl AttemptLabel {
+    /// Text of the label.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::AnswerCrossed => "answer_crossed",
+            Self::AnswerCut => "answer_cut",
+            Self::AnswerInvalid => "answer_invalid",
+            Self::AnswerUnproven => "answer_unproven",
+            Self::ConnectionLost => "connection_lost",
+            Self::LeftOut => "left_out",
+            Self::MemoryExhausted => "memory_exhausted",
+            Self::Moved => "moved",
+            Self::NotConnected => "not_connected",
+            Self::NotSent => "not_sent",
+            Self::Overtaken => "overtaken",
+            Self::ServerError => "server_error",
+            Self::Shed => "shed",
+            Self::TimedOut => "timed_out",
+            Self::UnprovenRefusal => "unproven_refusal",
+        }
+    }
+}
+
+impl From<SendFailure> for AttemptLabel {
+    fn from(failure: SendFailure) -> Self {
+        match failure {
+            SendFailure::ConnectionLost => Self::ConnectionLost,
+            SendFailure::AnswerCut => Self::AnswerCut,
+            SendFailure::AnswerInvalid => Self::AnswerInvalid,
+            SendFailure::AnswerCrossed => Self::AnswerCrossed,
+            SendFailure::AnswerUnproven => Self::AnswerUnproven,
+            SendFailure::MemoryExhausted => Self::MemoryExhausted,
+        }
+    }
+}
+
+/// End of an attempt.
+pub(crate) struct AttemptEnd {
+    /// What follows for the request.
+    pub(crate) next: NextStep,
+    /// What it means for the state of the server.
+    pub(crate) result: AttemptResult,
+    pub(crate) label: AttemptLabel,
+    /// Connection, if it can be reused.
+    pub(crate) connection: Option<BackendConnection>,
+}
+
+impl AttemptEnd {
+    /// End without a connection that can be reused.
+    pub(crate) const fn new(next: NextStep, result: AttemptResult, label: AttemptLabel) -> Self {
+        Self {
+            next,
+            result,
+            label,
+            connection: None,
+        }
+    }
+
+    /// End of an attempt whose request did not leave this process.
+    pub(crate) const fn not_sent(label: AttemptLabel, result: AttemptResult) -> Self {
+        let next = NextStep::TryAnother {
+            fallback: Err(Refusal::NotRun),
+            arrived: false,
+            may_have_run: false,
+        };
+        Self::new(next, result, label)
+    }
+
+    /// Keeps a connection that can be reused.
+    pub(crate) fn with_connection(self, connection: Option<BackendConnection>) -> Self {
+        Self { connection, ..self }
+    }
 }
 
 /// Next step after a server refused the request without running it.
