gateway: Count an admitted request until it is in flight at its server

Cause: an admitted request counts as pending until it is among the requests in flight, but start() was called at the end of the admission, before the server was chosen. Where several threads serve requests, as in the test, another one saw a free slot in between; the log of a failed run has an attempt with two requests in flight and no wait. The suspected cause, limits without load reports, is ruled out: a single gateway's view is exact. The platform's gateway serves with one thread and doesn't wait in between.

--- a/crates/gateway/src/admission_queue.rs
+++ b/crates/gateway/src/admission_queue.rs
@@ -95,9 +95,9 @@
         self.moved_bytes = Some(moved_bytes);
     }
 
-    /// Records that the request is sent to a backend server now.
-    fn start(&self) {
-        self.shared.admission.lock().admission.start(self.ticket);
+    /// Ticket of the request, for [`AdmissionQueue::start`].
+    pub(crate) const fn ticket(&self) -> Ticket {
+        self.ticket
     }
 }
 
@@ -136,6 +136,12 @@
         }
     }
 
+    /// Records that an admitted request is now among the requests in flight at its server. Until then it counts by itself, so
+    /// that no other request gets its slot in between.
+    pub(crate) fn start(&self, ticket: Ticket) {
+        self.lock().admission.start(ticket);
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -266,7 +272,6 @@
                 "served"
             };
             shared.metrics.record_admission(urgency, decision);
-            permit.start();
             Ok(permit)
         }
         Err(WaitEnd::Stopping) => {
--- a/crates/gateway/src/answer_progress.rs
+++ b/crates/gateway/src/answer_progress.rs
@@ -1,11 +1,13 @@
 //! Progress of an answer whose body is being received.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::Mutex;
 use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
 
+use crate::gateway::lock;
+
 /// When the last part of an answer arrived.
 #[derive(Debug, Default)]
 pub struct AnswerProgress {
@@ -16,7 +18,7 @@
 impl AnswerProgress {
     /// Records that the head or a part of the body has arrived.
     pub fn record_part(&self) {
-        let before = self.lock().replace(Instant::now());
+        let before = lock(&self.last_part_at).replace(Instant::now());
         if before.is_none() {
             self.begun.notify_one();
         }
@@ -40,12 +42,6 @@
     }
 
     fn stalls_at(&self, limit: Duration) -> Option<Instant> {
-        self.lock().map(|at| at + limit)
-    }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, Option<Instant>> {
-        self.last_part_at
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        lock(&self.last_part_at).map(|at| at + limit)
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,6 +7,7 @@
 use hyper::header::HeaderValue;
 use radishpaddle_kernel::boot_clock;
 use radishpaddle_model::{Fingerprint, RoutingRule, ServerIncarnation};
+use radishpaddle_policy::admission::Ticket;
 use radishpaddle_policy::placement::{PlacedWork, RequestTerms};
 use radishpaddle_policy::{AnswerSource, Observation, RequestKind, Urgency};
 use tokio::time::{Instant, timeout_at};
@@ -58,6 +59,8 @@
     pub service: Arc<str>,
     /// Urgency of the request, while load is managed.
     pub urgency: Option<Urgency>,
+    /// Admission of the request, while load is managed.
+    pub(crate) ticket: Option<Ticket>,
     /// Request as it is forwarded.
     pub request: ForwardRequest,
     /// Time by which the complete answer must have arrived.
@@ -141,6 +144,9 @@
                     break fallback;
                 }
             };
+            if let Some(ticket) = self.ticket {
+                self.shared.admission.start(ticket);
+            }
             left_out = chosen.left_out;
             if arrived && !self.shared.try_retry(&self.service, self.urgency) {
                 self.shared.finish_attempt(
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -20,7 +20,7 @@
 use serde_json::json;
 use tokio::time::{Instant, timeout_at};
 
-use crate::admission_queue::{self, AdmissionRecord, Candidate};
+use crate::admission_queue::{self, AdmissionRecord, Candidate, Permit};
 use crate::attempt::RequestPlan;
 use crate::attempt_record::AttemptRecord;
 use crate::forward::ForwardRequest;
@@ -229,6 +229,7 @@
         rule: Arc::clone(rule),
         service: Arc::clone(&service),
         urgency,
+        ticket: permit.as_ref().map(Permit::ticket),
         request,
         deadline,
     };
